--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# The commands of the README. `make demo` and `make test` work on a fresh Debian 12 machine: they
+# install the declared packages first, unless SKIP_INSTALL=1.
+
+JOBS ?= $(shell nproc)
+SEEDS ?= 20000
+FIRST_SEED ?= 1
+
+.PHONY: all install test demo soak broken asan tsan lint format bench clean
+
+all: install
+	cmake --preset release > /dev/null
+	cmake --build build -j $(JOBS)
+
+install:
+ifndef SKIP_INSTALL
+	sh scripts/install-packages.sh
+endif
+
+test: all
+	ctest --test-dir build --output-on-failure
+
+soak: all
+	build/egret-soak --first $(FIRST_SEED) --seeds $(SEEDS)
+
+# Builds the logic with one rule broken at a time: the history checker must see each.
+broken: install
+	sh scripts/check-broken.sh
+
+asan: install
+	cmake --preset asan > /dev/null
+	cmake --build build-asan -j $(JOBS)
+	ctest --test-dir build-asan --output-on-failure
+
+tsan: install
+	cmake --preset tsan > /dev/null
+	cmake --build build-tsan -j $(JOBS)
+	ctest --test-dir build-tsan --output-on-failure
+
+clean:
+	rm -rf build build-*
--- /dev/null
+++ b/harness/soak_main.cpp
@@ -0,0 +1,108 @@
+// egret-soak runs random schedules and prints the seed of each that breaks a promise or gets stuck.
+//
+//     egret-soak --first 1 --seeds 20000
+//     egret-soak --first 4711 --seeds 1 --trace     replays one with the hosts' log lines
+//
+// Exits with 0 if all runs kept every promise and recovered, else with 1.
+
+#include "harness/schedule.hpp"
+#include <atomic>
+#include <boost/program_options.hpp>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+using namespace egretledge::harness;
+
+namespace
+{
+
+struct totals
+{
+    schedule_result sum;
+    std::uint64_t violations = 0;
+    std::uint64_t stuck = 0;
+};
+
+void add(totals& all, const schedule_result& run)
+{
+    all.sum.calls += run.calls;
+    all.sum.complete += run.complete;
+    all.sum.failed += run.failed;
+    all.sum.not_run += run.not_run;
+    all.sum.unknown += run.unknown;
+    all.sum.starts += run.starts;
+    all.violations += run.violation.empty() ? 0 : 1;
+    all.stuck += run.stuck.empty() ? 0 : 1;
+}
+
+void print(std::uint64_t seed, const schedule_result& run)
+{
+    if (!run.violation.empty())
+        std::cout << "seed " << seed << " violation: " << run.violation << '\n';
+    if (!run.stuck.empty())
+        std::cout << "seed " << seed << " stuck: " << run.stuck << '\n';
+    for (const auto& fault : run.faults)
+        std::cout << "    " << fault << '\n';
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    namespace po = boost::program_options;
+    std::uint64_t first = 1;
+    std::uint64_t seeds = 0;
+    unsigned threads = std::max(1U, std::thread::hardware_concurrency());
+    po::options_description options("egret-soak");
+    options.add_options()("help", "print this")(
+        "first", po::value(&first), "the first seed")("seeds", po::value(&seeds)->default_value(1000),
+                                                      "how many seeds")(
+        "threads", po::value(&threads), "threads")("trace", "print the hosts' log lines")(
+        "quiet", "print only the totals")("unsafe-workers", "workers that ignore every fence");
+    po::variables_map given;
+    try
+    {
+        po::store(po::parse_command_line(argc, argv, options), given);
+        po::notify(given);
+    }
+    catch (const po::error& e)
+    {
+        std::cerr << e.what() << "; see --help\n";
+        return 2;
+    }
+    if (given.contains("help"))
+    {
+        std::cout << options;
+        return 0;
+    }
+    const auto broken =
+        given.contains("unsafe-workers") ? sabotage::workers_ignore_fences : sabotage::none;
+    const bool trace = given.contains("trace");
+    std::atomic<std::uint64_t> next{first};
+    std::mutex guard;
+    totals all;
+    std::vector<std::thread> pool;
+    for (unsigned t = 0; t < (trace ? 1 : threads); ++t)
+        pool.emplace_back(
+            [&]
+            {
+                for (auto seed = next++; seed < first + seeds; seed = next++)
+                {
+                    const auto run = run_schedule(seed, broken, trace);
+                    const std::lock_guard lock(guard);
+                    add(all, run);
+                    const bool bad = !run.violation.empty() || !run.stuck.empty();
+                    if ((bad || trace) && !given.contains("quiet"))
+                        print(seed, run);
+                }
+            });
+    for (auto& thread : pool)
+        thread.join();
+    std::cout << "schedules=" << seeds << " calls=" << all.sum.calls
+              << " complete=" << all.sum.complete << " failed=" << all.sum.failed
+              << " not_run=" << all.sum.not_run << " unknown=" << all.sum.unknown
+              << " starts=" << all.sum.starts << " violations=" << all.violations
+              << " stuck=" << all.stuck << '\n';
+    return all.violations + all.stuck == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/harness/world.hpp
@@ -0,0 +1,212 @@
+#ifndef EGRETLEDGE_HARNESS_WORLD_HPP
+#define EGRETLEDGE_HARNESS_WORLD_HPP
+
+// Many nodes of the shipping decision logic in virtual time, with fakes at their interfaces: peers
+// that lose and delay messages, a log with outages, a host list that lags, workers that die. One
+// seed decides everything, so a run can be repeated exactly.
+//
+// The fakes are small on purpose: a delay per message, a set of cut links, a few flags.
+
+#include "core/node.hpp"
+#include "harness/history.hpp"
+#include "standin/log_model.hpp"
+#include "standin/worker_model.hpp"
+#include <functional>
+#include <queue>
+#include <set>
+
+namespace egretledge::harness
+{
+
+struct centre_plan
+{
+    std::string name;
+    std::vector<std::string> hosts;
+    std::uint32_t workers = 2;
+};
+
+struct world_settings
+{
+    std::uint64_t seed = 1;
+    std::vector<centre_plan> centres;
+    std::uint32_t slots = 4;
+    std::uint32_t shards = 4;
+    microseconds tick = milliseconds{10};
+    microseconds least_delay{200};
+    microseconds most_delay{800};
+    double loss = 0;      // of messages between hosts
+    double duplicates = 0; // of messages between hosts
+    milliseconds list_lag{3000};
+    milliseconds most_clock_offset{100};
+    milliseconds lease{2000};
+    milliseconds host_list_lag{30000};
+    milliseconds snapshot_every{std::chrono::hours{6}};
+    std::string extra_config; // more objects, as YAML documents
+    bool unsafe_workers = false; // workers ignore fences: the checker must see it
+    bool constant_delay = false;
+};
+
+// A state of the fake log.
+enum class log_state : std::uint8_t
+{
+    up,
+    down,        // nothing gets through
+    lose_answers // appends take effect, their answers and all reads are lost
+};
+
+class world
+{
+public:
+    explicit world(world_settings settings);
+    ~world();
+
+    microseconds now() const { return m_now; }
+    // Runs events up to the given time.
+    void run_until(microseconds when);
+    void run_for(microseconds span) { run_until(m_now + span); }
+    // Does something at a later time.
+    void at(microseconds when, std::function<void()> what);
+
+    // Faults.
+    void kill(const std::string& host);
+    void start(const std::string& host);
+    void pause(const std::string& host);
+    void resume(const std::string& host);
+    void stop(const std::string& host);
+    void cut(const std::string& a, const std::string& b);   // hosts, workers, centres or "log"
+    void heal(const std::string& a, const std::string& b);
+    void heal_all();
+    void set_log(log_state state) { m_log_state = state; }
+    void set_log_delay(microseconds extra) { m_log_delay = extra; }
+    void set_loss(double loss) { m_settings.loss = loss; }
+    void set_extra_delay(const std::string& from, const std::string& to, microseconds extra);
+    void kill_worker(const std::string& worker);
+    void start_worker(const std::string& worker);
+    void leave_worker(const std::string& worker) { m_leaving_workers.insert(worker); }
+    void set_worker(const std::string& worker,
+                    const std::function<void(standin::worker_settings&)>& change);
+    void age_out_log(std::size_t kept);
+    void unlist(const std::string& host);
+    // Appends a publication of these objects; null base: against what the log's reader would see.
+    void publish(const std::string& yaml, std::uint64_t base, const std::string& id);
+
+    // A caller's request to a host; returns the call's number in the history.
+    std::uint64_t submit(const std::string& host, const std::string& key, wire::Job job,
+                         const std::string& team = "team-a");
+    std::uint64_t ask(const std::string& host, const std::string& key, wire::CallKind kind,
+                      const std::string& team = "team-a");
+    // A fresh key made now in a data centre.
+    std::string make_key(const std::string& centre, const std::string& nonce) const;
+
+    history& calls() { return m_history; }
+    // Checks everything that happened against the promises; an empty text means no violation.
+    std::string verdict();
+
+    node* host(const std::string& name);
+    bool alive(const std::string& name) const;
+    std::vector<std::string> host_names() const;
+    std::vector<std::string> worker_names() const;
+    standin::worker_model* worker(const std::string& name);
+    node_counters totals() const;
+    std::uint64_t log_appends() const { return m_log.appends(); }
+    instant clock_of(const std::string& host) const;
+    std::string centre_of(const std::string& name) const;
+    std::uint64_t messages() const { return m_messages; }
+    std::uint64_t message_bytes() const { return m_message_bytes; }
+    // Prints the hosts' log lines.
+    void trace(bool on) { m_trace = on; }
+    void count_bytes(bool on) { m_count_bytes = on; }
+    standin::log_model& log() { return m_log; }
+    // Hosts that own `shard` of a data centre and would serve it now.
+    std::vector<std::string> serving(const std::string& centre, std::uint32_t shard);
+
+private:
+    struct event
+    {
+        microseconds when{0};
+        std::uint64_t order = 0;
+        std::function<void()> what;
+        bool operator>(const event& other) const
+        {
+            return std::tie(when, order) > std::tie(other.when, other.order);
+        }
+    };
+    struct host_state
+    {
+        std::string name;
+        std::string centre;
+        std::unique_ptr<node> logic;
+        std::uint64_t incarnation = 0;
+        bool paused = false;
+        microseconds paused_at{0};
+        bool stopping = false;
+        microseconds stop_begun{0};
+        bool restart = false; // once the graceful stop is done
+        milliseconds wall_offset{0};
+        double rate = 1;
+        microseconds listed_from{-1};
+        microseconds listed_until{-1};
+        bool forced_out = false;
+        std::vector<std::function<void()>> backlog;
+    };
+    struct worker_state
+    {
+        std::string name;
+        std::string centre;
+        std::unique_ptr<standin::worker_model> model;
+        std::uint64_t incarnation = 0;
+        std::map<std::uint64_t, std::function<void(worker_answer)>> waiting;
+        std::uint64_t next = 1;
+        microseconds wake = microseconds::max();
+        standin::worker_settings settings;
+    };
+
+    void deliver(microseconds delay, std::function<void()> what);
+    // Runs `what` at the host, now or when it is resumed; dropped if that process is over.
+    void enter(const std::string& host, std::uint64_t incarnation,
+               std::function<void(node&, instant, action_list&)> what);
+    void tick_host(const std::string& name, std::uint64_t incarnation);
+    void carry_out(host_state& from, action_list& actions);
+    void carry_peer(host_state& from, actions::send_peer& message);
+    void carry_log(host_state& from, const actions::append_log& append);
+    void carry_log(host_state& from, const actions::read_log& read);
+    void answer_read(const std::string& host, std::uint64_t incarnation,
+                     const actions::read_log& read, microseconds until);
+    void carry_hosts(host_state& from);
+    void carry_worker(host_state& from, actions::ask_worker& question);
+    void worker_event(const std::string& name, std::uint64_t incarnation);
+    void worker_replies(worker_state& worker, std::vector<standin::worker_reply>& replies);
+    void wake_worker(worker_state& worker);
+    bool reachable(const std::string& a, const std::string& b) const;
+    bool log_reachable(const std::string& host) const;
+    microseconds delay(const std::string& from, const std::string& to);
+    bool chance(double probability);
+    instant clock(const host_state& host) const;
+    instant true_time() const;
+    std::string base_config() const;
+
+    world_settings m_settings;
+    std::mt19937_64 m_random;
+    microseconds m_now{0};
+    std::uint64_t m_order = 0;
+    std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
+    std::map<std::string, host_state> m_hosts;
+    std::map<std::string, worker_state> m_workers;
+    std::map<std::string, std::string> m_centres; // host or worker -> data centre
+    std::set<std::pair<std::string, std::string>> m_cuts;
+    std::map<std::pair<std::string, std::string>, microseconds> m_extra;
+    std::set<std::string> m_leaving_workers;
+    standin::log_model m_log;
+    log_state m_log_state = log_state::up;
+    microseconds m_log_delay{0};
+    history m_history;
+    std::uint64_t m_next_call = 1;
+    std::uint64_t m_messages = 0;
+    std::uint64_t m_message_bytes = 0;
+    bool m_count_bytes = false;
+    bool m_trace = false;
+};
+
+} // namespace egretledge::harness
+
+#endif
--- /dev/null
+++ b/include/egretledge/worker_protocol.hpp
@@ -0,0 +1,247 @@
+#ifndef EGRETLEDGE_WORKER_PROTOCOL_HPP
+#define EGRETLEDGE_WORKER_PROTOCOL_HPP
+
+// What an entry host says to a worker, and what the worker answers: JSON over HTTP/1.1, one POST a
+// question. The paths are given beside each question.
+//
+// A worker needs little state for this. Per lease it keeps the highest sequence seen, per shard the
+// highest epoch seen, and for the key window a record of each task that it started. It refuses a
+// start whose lease has lapsed, whose sequence is not above the lease's highest, whose epoch is
+// below the shard's, or whose start_by_us has passed on the worker's own clock. A refused start has
+// not run and never will.
+//
+// Times ending in _us are microseconds on the worker's own clock, whose zero is the worker's
+// choice; times ending in _ms are milliseconds of Unix time.
+
+#include "egretledge/types.hpp"
+#include <variant>
+
+namespace egretledge
+{
+
+// POST /v1/leases. Asks for a new lease (lease = 0) or renews one. asked_at_us is the worker's
+// clock as the holder estimates it, so that a renewal delivered late extends nothing; 0 on the
+// first ask.
+struct lease_ask
+{
+    host_ref holder;
+    std::uint64_t lease = 0;
+    std::uint32_t slots = 0;
+    std::int64_t asked_at_us = 0;
+};
+BOOST_DESCRIBE_STRUCT(lease_ask, (), (holder, lease, slots, asked_at_us))
+
+struct lease_grant
+{
+    std::uint64_t worker_incarnation = 0;
+    std::uint64_t lease = 0;
+    std::uint32_t slots = 0;
+    std::int64_t now_us = 0;
+    std::int64_t lapses_at_us = 0;
+    std::uint32_t queued = 0;
+};
+BOOST_DESCRIBE_STRUCT(lease_grant, (), (worker_incarnation, lease, slots, now_us, lapses_at_us, queued))
+
+// One task to start. deadline_ms is the job's deadline in Unix time.
+struct start_order
+{
+    std::uint64_t sequence = 0;
+    std::uint32_t shard = 0;
+    epoch owner_epoch;
+    std::int64_t start_by_us = 0;
+    job_id job;
+    std::uint64_t digest = 0;
+    std::uint32_t task = 0;
+    std::uint32_t task_count = 0;
+    std::int64_t made_ms = 0;
+    std::int64_t deadline_ms = 0;
+    std::string service;
+    std::uint32_t size_ms = 0;
+    std::string payload;
+};
+BOOST_DESCRIBE_STRUCT(start_order, (),
+                      (sequence, shard, owner_epoch, start_by_us, job, digest, task, task_count,
+                       made_ms, deadline_ms, service, size_ms, payload))
+
+// POST /v1/starts. Many starts in one message; the orders' sequences rise. Holder and worker
+// incarnation are those to which the lease was granted: a restarted worker may use a lease's number
+// again.
+struct start_batch
+{
+    host_ref holder;
+    std::uint64_t worker_incarnation = 0;
+    std::uint64_t lease = 0;
+    std::vector<start_order> orders;
+};
+BOOST_DESCRIBE_STRUCT(start_batch, (), (holder, worker_incarnation, lease, orders))
+
+enum class start_verdict : std::uint8_t
+{
+    accepted,
+    lease_lapsed,
+    stale_epoch,
+    repeated,
+    too_late,
+    job_closed,
+    over_limit
+};
+BOOST_DESCRIBE_ENUM(start_verdict, accepted, lease_lapsed, stale_epoch, repeated, too_late,
+                    job_closed, over_limit)
+
+struct start_reply
+{
+    std::uint64_t worker_incarnation = 0;
+    std::int64_t now_us = 0;
+    std::uint32_t queued = 0;
+    std::vector<start_verdict> verdicts;
+};
+BOOST_DESCRIBE_STRUCT(start_reply, (), (worker_incarnation, now_us, queued, verdicts))
+
+// How one accepted task ended. not_started: it left the worker's queue without starting.
+enum class task_end : std::uint8_t
+{
+    done,
+    failed,
+    stopped,
+    not_started
+};
+BOOST_DESCRIBE_ENUM(task_end, done, failed, stopped, not_started)
+
+// POST /v1/results. Asks for the results after index `after` of the holder's tasks; the worker
+// waits up to wait_ms for one. Indexes belong to one incarnation of the worker: under another one,
+// `after` counts as 0, and nothing is forgotten because of it.
+struct result_ask
+{
+    host_ref holder;
+    std::uint64_t worker_incarnation = 0;
+    std::uint64_t after = 0;
+    std::uint32_t wait_ms = 0;
+};
+BOOST_DESCRIBE_STRUCT(result_ask, (), (holder, worker_incarnation, after, wait_ms))
+
+struct result_line
+{
+    std::uint64_t index = 0;
+    std::uint64_t lease = 0;
+    std::uint64_t sequence = 0;
+    job_id job;
+    std::uint32_t task = 0;
+    task_end end = task_end::done;
+    std::int64_t ran_us = 0;
+    std::string output;
+};
+BOOST_DESCRIBE_STRUCT(result_line, (), (index, lease, sequence, job, task, end, ran_us, output))
+
+struct result_reply
+{
+    std::uint64_t worker_incarnation = 0;
+    std::int64_t now_us = 0;
+    std::uint32_t queued = 0;
+    std::vector<result_line> lines;
+};
+BOOST_DESCRIBE_STRUCT(result_reply, (), (worker_incarnation, now_us, queued, lines))
+
+// POST /v1/history. Raises the shards' epochs and, if the holder is named, the holder's highest
+// sequence to up_to; then reports every task started for these shards, or for the holder with a
+// sequence in [from, up_to]. After the answer nothing older can start, so what the answer does not
+// list has not run.
+struct shard_fence
+{
+    std::uint32_t shard = 0;
+    epoch owner_epoch;
+};
+BOOST_DESCRIBE_STRUCT(shard_fence, (), (shard, owner_epoch))
+
+struct history_ask
+{
+    std::vector<shard_fence> shards;
+    host_ref holder;
+    std::uint64_t from = 0;
+    std::uint64_t up_to = 0;
+};
+BOOST_DESCRIBE_STRUCT(history_ask, (), (shards, holder, from, up_to))
+
+// closed: the owner ends the job as failed; nothing more starts for it, and `output` names why.
+enum class record_state : std::uint8_t
+{
+    running,
+    done,
+    failed,
+    stopped,
+    closed
+};
+BOOST_DESCRIBE_ENUM(record_state, running, done, failed, stopped, closed)
+
+struct history_record
+{
+    std::uint32_t shard = 0;
+    std::uint64_t sequence = 0;
+    job_id job;
+    std::uint64_t digest = 0;
+    std::uint32_t task = 0;
+    std::uint32_t task_count = 0;
+    std::int64_t made_ms = 0;
+    std::int64_t deadline_ms = 0;
+    record_state state = record_state::running;
+    std::string output;
+};
+BOOST_DESCRIBE_STRUCT(history_record, (),
+                      (shard, sequence, job, digest, task, task_count, made_ms, deadline_ms, state,
+                       output))
+
+// history_since_ms: starts before this Unix time are no longer on record.
+struct history_reply
+{
+    std::uint64_t worker_incarnation = 0;
+    std::int64_t now_us = 0;
+    std::int64_t history_since_ms = 0;
+    std::vector<history_record> records;
+};
+BOOST_DESCRIBE_STRUCT(history_reply, (),
+                      (worker_incarnation, now_us, history_since_ms, records))
+
+// POST /v1/stops. Stops the running tasks of these jobs and puts each job on record as closed, unless
+// the epoch is below the shard's.
+struct job_close
+{
+    job_id job;
+    std::uint32_t shard = 0;
+    epoch owner_epoch;
+    std::uint64_t digest = 0;
+    std::uint32_t task_count = 0;
+    std::int64_t made_ms = 0;
+    std::int64_t deadline_ms = 0;
+    std::string reason;
+};
+BOOST_DESCRIBE_STRUCT(job_close, (),
+                      (job, shard, owner_epoch, digest, task_count, made_ms, deadline_ms, reason))
+
+struct stop_ask
+{
+    host_ref holder;
+    std::vector<job_close> jobs;
+};
+BOOST_DESCRIBE_STRUCT(stop_ask, (), (holder, jobs))
+
+enum class stop_verdict : std::uint8_t
+{
+    recorded,
+    stale_epoch
+};
+BOOST_DESCRIBE_ENUM(stop_verdict, recorded, stale_epoch)
+
+struct stop_reply
+{
+    std::uint64_t worker_incarnation = 0;
+    std::int64_t now_us = 0;
+    std::vector<stop_verdict> verdicts;
+};
+BOOST_DESCRIBE_STRUCT(stop_reply, (), (worker_incarnation, now_us, verdicts))
+
+using worker_question = std::variant<lease_ask, start_batch, result_ask, history_ask, stop_ask>;
+using worker_answer =
+    std::variant<error, lease_grant, start_reply, result_reply, history_reply, stop_reply>;
+
+} // namespace egretledge
+
+#endif
--- /dev/null
+++ b/src/core/config_follower.cpp
@@ -0,0 +1,261 @@
+// Publications are judged by their place in the log alone, so every reader agrees.
+//
+// A publication names the revision it was made against and carries only what it changes. It is
+// accepted if no object that it changes or removes was changed after that base, and if the whole
+// set with the change passes the check; the revision then grows by one. Otherwise it changes
+// nothing. Two operators who change different objects both succeed; of two who change the same
+// object the first in the log wins.
+//
+// A snapshot record holds the whole set as of some offset, so that a reader without state can start
+// although earlier records aged out: it takes the set, goes back to that offset and applies what
+// follows it. Readers with state only note the snapshot's revision: publications whose base is
+// older are refused from there on, by every reader, because a reader that started from the snapshot
+// cannot know when each object was last changed. Any host may write a snapshot at any time; two
+// harm nobody.
+//
+// A revision never goes back: states from peers are taken only if newer.
+
+#include "core/config_follower.hpp"
+#include "core/check.hpp"
+#include <algorithm>
+
+namespace egretledge
+{
+
+namespace
+{
+
+constexpr std::size_t recent_kept = 256;
+constexpr std::size_t history_kept = 256;
+
+config_object from_wire_object(const wire::ConfigObject& object)
+{
+    return {object.kind(), object.name(), object.body(), "", 0};
+}
+
+} // namespace
+
+void config_follower::note(judged_publication verdict)
+{
+    m_history.push_back(std::move(verdict));
+    if (m_history.size() > history_kept)
+        m_history.pop_front();
+}
+
+bool config_follower::on_page(const log_page& page)
+{
+    if (!m_has_state && page.first_kept == 0)
+        m_has_state = true;
+    const auto before = m_revision;
+    for (const auto& entry : page.entries)
+    {
+        if (entry.offset < m_next_offset)
+            continue;
+        wire::LogRecord record;
+        const bool readable = record.ParseFromString(entry.data) && record.has_publication();
+        if (readable && record.publication().snapshot())
+        {
+            // A reader that starts here has to read again from the snapshot's offset.
+            if (apply_snapshot(page, record.publication()))
+                return true;
+        }
+        else if (readable)
+            take(entry, record.publication());
+        m_next_offset = entry.offset + 1;
+    }
+    m_next_offset = std::max(m_next_offset, page.next);
+    return m_revision > before;
+}
+
+void config_follower::take(const log_entry& entry, const wire::Publication& text)
+{
+    m_lacks_snapshot = !m_has_state;
+    if (m_has_state)
+        apply_publication(entry, text);
+    m_recent.push_back(entry);
+    if (m_recent.size() > recent_kept)
+        m_recent.pop_front();
+}
+
+// Returns true if this reader starts from the snapshot, and has to go back to its offset.
+bool config_follower::apply_snapshot(const log_page& page, const wire::Publication& text)
+{
+    m_saw_snapshot = true;
+    if (m_has_state)
+    {
+        if (text.revision() <= m_revision)
+            m_base_floor = std::max(m_base_floor, text.revision());
+        return false;
+    }
+    if (text.up_to() < page.first_kept)
+        return false; // what follows it is not all kept
+    wire::ConfigState state;
+    state.set_revision(text.revision());
+    state.set_next_offset(0);
+    state.set_base_floor(text.revision());
+    for (const auto& object : text.changed())
+    {
+        auto& copy = *state.add_objects();
+        copy = object;
+        copy.set_changed_at(text.revision());
+    }
+    if (!on_state(state))
+        return false;
+    m_next_offset = text.up_to();
+    return true;
+}
+
+std::vector<std::string> config_follower::clashes(const wire::Publication& text) const
+{
+    std::vector<std::string> found;
+    const auto check = [&](const std::string& kind, const std::string& name)
+    {
+        const auto changed = m_changed_at.find({kind, name});
+        if (changed != m_changed_at.end() && changed->second > text.base_revision())
+            found.push_back(kind + " " + name);
+    };
+    for (const auto& object : text.changed())
+        check(object.kind(), object.name());
+    for (const auto& object : text.removed())
+        check(object.kind(), object.name());
+    return found;
+}
+
+bool config_follower::apply_publication(const log_entry& entry, const wire::Publication& text)
+{
+    judged_publication verdict{text.id(), text.author(), entry.offset, m_revision, {}, {}, {}};
+    // A publication whose append was tried twice counts once.
+    const bool repeated =
+        std::any_of(m_history.begin(), m_history.end(), [&](const judged_publication& p)
+                    { return p.id == text.id(); });
+    if (repeated)
+        return false;
+    verdict.objects = clashes(text);
+    if (text.base_revision() < m_base_floor)
+        verdict.verdict = publication_verdict::base_too_old;
+    else if (!verdict.objects.empty())
+        verdict.verdict = publication_verdict::clashed;
+    if (verdict.verdict != publication_verdict::accepted)
+    {
+        note(std::move(verdict));
+        return false;
+    }
+    config_difference change;
+    for (const auto& object : text.changed())
+    {
+        change.changed.push_back(from_wire_object(object));
+        verdict.objects.push_back(object.kind() + " " + object.name());
+    }
+    for (const auto& object : text.removed())
+    {
+        change.removed.push_back({object.kind(), object.name(), "", "", 0});
+        verdict.objects.push_back(object.kind() + " " + object.name());
+    }
+    const bool installed =
+        install(egretledge::apply(m_objects, change), m_revision + 1, verdict);
+    if (installed)
+    {
+        for (const auto& object : change.changed)
+            m_changed_at[{object.kind, object.name}] = m_revision;
+        for (const auto& object : change.removed)
+            m_changed_at[{object.kind, object.name}] = m_revision;
+    }
+    note(std::move(verdict));
+    return installed;
+}
+
+bool config_follower::install(std::vector<config_object> objects, std::uint64_t revision,
+                              judged_publication& verdict)
+{
+    auto built = build_configuration(objects, revision);
+    if (!built)
+    {
+        verdict.verdict = publication_verdict::not_valid;
+        verdict.detail = describe(built.error().front());
+        return false;
+    }
+    if (m_current)
+        for (const auto& [name, centre] : m_current->data_centres)
+        {
+            const auto next = built->data_centres.find(name);
+            if (next == built->data_centres.end() || next->second.shards == centre.shards)
+                continue;
+            verdict.verdict = publication_verdict::not_valid;
+            verdict.detail = "data_centre " + name + ": shards must not change while it serves";
+            return false;
+        }
+    EGRET_CHECK(revision > m_revision, "a revision never goes back");
+    m_objects = std::move(objects);
+    m_revision = revision;
+    verdict.revision = revision;
+    m_current = std::make_shared<const configuration>(std::move(*built));
+    return true;
+}
+
+bool config_follower::on_state(const wire::ConfigState& state)
+{
+    if (state.revision() <= m_revision)
+        return false;
+    std::vector<config_object> objects;
+    for (const auto& object : state.objects())
+        objects.push_back(from_wire_object(object));
+    judged_publication verdict;
+    if (!install(std::move(objects), state.revision(), verdict))
+        return false;
+    m_changed_at.clear();
+    for (const auto& object : state.objects())
+        m_changed_at[{object.kind(), object.name()}] = object.changed_at();
+    for (const auto& object : state.removed())
+        m_changed_at[{object.kind(), object.name()}] = object.changed_at();
+    m_next_offset = std::max(m_next_offset, state.next_offset());
+    m_base_floor = std::max(m_base_floor, state.base_floor());
+    m_has_state = true;
+    m_lacks_snapshot = false;
+    m_recent.clear();
+    return true;
+}
+
+wire::ConfigState config_follower::state() const
+{
+    wire::ConfigState state;
+    state.set_revision(m_revision);
+    state.set_next_offset(m_next_offset);
+    state.set_base_floor(m_base_floor);
+    for (const auto& object : m_objects)
+    {
+        auto& line = *state.add_objects();
+        line.set_kind(object.kind);
+        line.set_name(object.name);
+        line.set_body(object.body);
+        const auto changed = m_changed_at.find({object.kind, object.name});
+        line.set_changed_at(changed == m_changed_at.end() ? 0 : changed->second);
+    }
+    for (const auto& [name, revision] : m_changed_at)
+    {
+        const bool present =
+            std::any_of(m_objects.begin(), m_objects.end(), [&](const config_object& o)
+                        { return o.kind == name.first && o.name == name.second; });
+        if (present || revision <= m_base_floor)
+            continue;
+        auto& line = *state.add_removed();
+        line.set_kind(name.first);
+        line.set_name(name.second);
+        line.set_changed_at(revision);
+    }
+    return state;
+}
+
+wire::LogRecord config_follower::snapshot() const
+{
+    wire::LogRecord record;
+    auto& text = *record.mutable_publication();
+    text.set_snapshot(true);
+    text.set_revision(m_revision);
+    text.set_up_to(m_next_offset);
+    const auto whole = state();
+    for (const auto& object : whole.objects())
+        *text.add_changed() = object;
+    return record;
+}
+
+} // namespace egretledge
--- /dev/null
+++ b/src/core/job_memory.cpp
@@ -0,0 +1,186 @@
+// See job_memory.hpp. The trade-off: a key that arrives for a slice already packed goes into that
+// slice's small hash table and is merged on the next packing, which costs a copy of the slice; keys
+// are nearly always used within seconds of being made, so this is rare.
+
+#include "core/job_memory.hpp"
+#include <algorithm>
+
+namespace egretledge
+{
+
+namespace
+{
+
+constexpr milliseconds slice_span{20000};
+constexpr milliseconds seal_after{30000};
+constexpr std::size_t reseal_at = 64;
+
+milliseconds slice_begin(milliseconds made) { return made - made % slice_span; }
+
+} // namespace
+
+job_memory::job_memory(milliseconds window, std::uint64_t answer_bytes)
+    : m_window(window), m_most_bytes(answer_bytes)
+{
+}
+
+job_memory::slice& job_memory::slice_of(milliseconds made)
+{
+    const auto begin = slice_begin(made);
+    auto place = std::lower_bound(m_slices.begin(), m_slices.end(), begin,
+                                  [](const slice& s, milliseconds b) { return s.begin < b; });
+    if (place == m_slices.end() || place->begin != begin)
+    {
+        place = m_slices.emplace(place);
+        place->begin = begin;
+    }
+    return *place;
+}
+
+const job_memory::slice* job_memory::find_slice(milliseconds made) const
+{
+    const auto begin = slice_begin(made);
+    const auto place = std::lower_bound(m_slices.begin(), m_slices.end(), begin,
+                                        [](const slice& s, milliseconds b) { return s.begin < b; });
+    return place == m_slices.end() || place->begin != begin ? nullptr : &*place;
+}
+
+const job_memory::entry* job_memory::find_in(const slice& where, const job_id& id)
+{
+    const auto recent = where.recent.find(id);
+    if (recent != where.recent.end())
+        return &recent->second;
+    const auto sealed = std::lower_bound(where.sealed.begin(), where.sealed.end(), id,
+                                         [](const packed& p, const job_id& i) { return p.id < i; });
+    return sealed == where.sealed.end() || sealed->id != id ? nullptr : &sealed->value;
+}
+
+remembered_job job_memory::restore(const job_id& id, const entry& value, milliseconds made)
+{
+    remembered_job job{id, value.digest, made, {}};
+    if (value.answer)
+    {
+        job.answer.ParseFromString(*value.answer);
+        return job;
+    }
+    job.answer.set_outcome(static_cast<std::uint32_t>(outcome::unknown));
+    job.answer.set_kind(static_cast<std::uint32_t>(answer_kind::key_expired));
+    job.answer.set_detail("the job ended as " + std::string(name_of(value.kind)) +
+                          "; its results are no longer kept");
+    return job;
+}
+
+void job_memory::put(remembered_job job)
+{
+    auto& where = slice_of(job.made);
+    if (find_in(where, job.id) != nullptr)
+        return;
+    auto text = std::make_unique<std::string>(job.answer.SerializeAsString());
+    text->shrink_to_fit();
+    where.bytes += text->size();
+    m_bytes += text->size();
+    where.recent.emplace(
+        job.id, entry{job.digest, std::move(text), static_cast<answer_kind>(job.answer.kind())});
+    ++m_size;
+    shed_answers();
+}
+
+std::optional<remembered_job> job_memory::find(const job_id& id, milliseconds made) const
+{
+    const auto* where = find_slice(made);
+    const auto* found = where == nullptr ? nullptr : find_in(*where, id);
+    if (found == nullptr)
+        return std::nullopt;
+    return restore(id, *found, made);
+}
+
+void job_memory::shed_answers()
+{
+    for (auto& old : m_slices)
+    {
+        if (m_bytes <= m_most_bytes)
+            return;
+        for (auto& [id, value] : old.recent)
+            value.answer.reset();
+        for (auto& job : old.sealed)
+            job.value.answer.reset();
+        m_bytes -= old.bytes;
+        old.bytes = 0;
+    }
+}
+
+void job_memory::seal(slice& old)
+{
+    old.sealed.reserve(old.sealed.size() + old.recent.size());
+    for (auto& [id, value] : old.recent)
+        old.sealed.push_back({id, std::move(value)});
+    old.recent = {};
+    std::sort(old.sealed.begin(), old.sealed.end(),
+              [](const packed& a, const packed& b) { return a.id < b.id; });
+    old.sealed.shrink_to_fit();
+}
+
+void job_memory::expire(milliseconds now)
+{
+    while (!m_slices.empty() && m_slices.front().begin + slice_span + m_window < now)
+    {
+        const auto& old = m_slices.front();
+        m_size -= old.recent.size() + old.sealed.size();
+        m_bytes -= old.bytes;
+        m_slices.pop_front();
+    }
+    for (auto& slice : m_slices)
+    {
+        const bool due = slice.begin + slice_span + seal_after < now;
+        if (due && (slice.sealed.empty() || slice.recent.size() > reseal_at) &&
+            !slice.recent.empty())
+            seal(slice);
+    }
+}
+
+std::vector<remembered_job> job_memory::of_shard(std::uint32_t shard, std::uint32_t shards) const
+{
+    std::vector<remembered_job> found;
+    for (const auto& slice : m_slices)
+    {
+        for (const auto& [id, value] : slice.recent)
+            if (shard_of(id, shards) == shard)
+                found.push_back(restore(id, value, slice.begin));
+        for (const auto& job : slice.sealed)
+            if (shard_of(job.id, shards) == shard)
+                found.push_back(restore(job.id, job.value, slice.begin));
+    }
+    return found;
+}
+
+void job_memory::forget_shard(std::uint32_t shard, std::uint32_t shards)
+{
+    for (auto& slice : m_slices)
+    {
+        const auto drop = [&](const job_id& id, const entry& value)
+        {
+            if (shard_of(id, shards) != shard)
+                return false;
+            const auto bytes = value.answer ? value.answer->size() : 0;
+            slice.bytes -= bytes;
+            m_bytes -= bytes;
+            --m_size;
+            return true;
+        };
+        boost::unordered::erase_if(slice.recent,
+                                   [&](const auto& job) { return drop(job.first, job.second); });
+        std::erase_if(slice.sealed, [&](const packed& job) { return drop(job.id, job.value); });
+    }
+}
+
+std::size_t job_memory::state_bytes() const
+{
+    constexpr std::size_t slot = sizeof(std::pair<job_id, entry>) + 1;
+    std::size_t bytes = 0;
+    for (const auto& slice : m_slices)
+        bytes += sizeof(slice) + slice.recent.bucket_count() * slot +
+                 slice.sealed.capacity() * sizeof(packed);
+    return bytes;
+}
+
+} // namespace egretledge
--- /dev/null
+++ b/src/core/messages.hpp
@@ -0,0 +1,105 @@
+#ifndef EGRETLEDGE_CORE_MESSAGES_HPP
+#define EGRETLEDGE_CORE_MESSAGES_HPP
+
+// What goes into the decision logic and what comes out of it. The logic does no I/O: a daemon, a
+// scenario or a benchmark turns sockets, timers or a script into inputs, and carries out actions.
+
+#include "egretledge/worker_protocol.hpp"
+#include "proto/egretledge.pb.h"
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace egretledge
+{
+
+// One record of the platform's log.
+struct log_entry
+{
+    std::uint64_t offset = 0;
+    std::string data;
+};
+
+// The answer to a read: entries from the offset asked for, or from the first one kept.
+struct log_page
+{
+    std::uint64_t first_kept = 0;
+    std::uint64_t next = 0;
+    std::vector<log_entry> entries;
+};
+
+// One row of the platform's list of hosts. The list lags behind reality.
+struct listed_host
+{
+    std::string name;
+    std::string data_centre;
+    std::string peer_address;
+    bool leaving = false;
+};
+BOOST_DESCRIBE_STRUCT(listed_host, (), (name, data_centre, peer_address, leaving))
+
+struct host_listing
+{
+    std::vector<listed_host> hosts;
+    std::vector<std::string> leaving_workers;
+};
+BOOST_DESCRIBE_STRUCT(host_listing, (), (hosts, leaving_workers))
+
+namespace actions
+{
+
+struct reply_call
+{
+    std::uint64_t call = 0;
+    wire::Answer answer;
+};
+
+struct send_peer
+{
+    std::string host;
+    wire::PeerMessage message;
+};
+
+struct append_log
+{
+    std::string stream;
+    std::string data;
+};
+
+// Asks for one page; the logic asks again only after the answer.
+struct read_log
+{
+    std::string stream;
+    std::uint64_t from = 0;
+    milliseconds wait{0};
+};
+
+struct fetch_hosts
+{
+};
+
+struct ask_worker
+{
+    std::string worker;
+    std::string address;
+    std::uint64_t request = 0;
+    worker_question question;
+};
+
+// One line for the log: `text` is already in key=value form.
+struct log_event
+{
+    std::string text;
+};
+
+} // namespace actions
+
+using action = std::variant<actions::reply_call, actions::send_peer, actions::append_log,
+                            actions::read_log, actions::fetch_hosts, actions::ask_worker,
+                            actions::log_event>;
+using action_list = std::vector<action>;
+
+} // namespace egretledge
+
+#endif
--- /dev/null
+++ b/src/core/node.cpp
@@ -0,0 +1,577 @@
+// Wires the parts of the decision logic together: a pipe from inputs through configuration,
+// ownership, routing and the owner's work to actions. After each input, settle() passes on what
+// one part has for another, so that an answer never waits for the next tick.
+//
+// Configuration: of the hosts of a data centre, the one with the lowest name reads the stream of
+// publications and hands new records on to the others, so that the log's readers grow with data
+// centres, not with hosts. The others read it themselves only now and then. Heartbeats carry the
+// revision: a host that sees a newer one asks for it, and once a second each host asks one host of
+// another data centre, so a data centre that is cut off from the log still gets what any reachable
+// one has.
+//
+// Stop and replacement: a host that is stopped, or owns more than its share, hands shards over. It
+// freezes the shard, sends its memory of it to the next owner, and on the acknowledgement claims the
+// shard in that host's name. Open jobs are not waited for: the next owner finds their tasks on the
+// workers' records and goes on.
+
+#include "core/node.hpp"
+#include "core/check.hpp"
+#include "core/wire.hpp"
+#include <algorithm>
+
+namespace egretledge
+{
+
+namespace
+{
+
+constexpr const char* config_stream = "config";
+constexpr microseconds handover_timeout = milliseconds{1500};
+constexpr microseconds far_ask_every = milliseconds{1000};
+constexpr microseconds spare_reader_every = milliseconds{5000};
+constexpr milliseconds most_deadline{std::chrono::hours{1}};
+constexpr std::uint32_t rebalance_slack = 1;
+
+} // namespace
+
+node::node(node_settings settings, std::uint64_t seed)
+    : m_settings(std::move(settings)), m_random(seed)
+{
+    m_config_reader.name = config_stream;
+    m_claims_reader.name = "ownership." + m_settings.data_centre;
+}
+
+node::~node() = default;
+
+bool node::ready() const { return !m_leaving && m_owners != nullptr && m_have_listing; }
+
+void node::log(action_list& out, std::string text) const
+{
+    out.push_back(actions::log_event{std::move(text)});
+}
+
+void node::send(const std::string& host, wire::PeerMessage message, action_list& out) const
+{
+    out.push_back(actions::send_peer{host, std::move(message)});
+}
+
+void node::create_parts()
+{
+    const auto centre = m_config.current()->data_centres.find(m_settings.data_centre);
+    if (centre == m_config.current()->data_centres.end())
+        return;
+    m_settings.owners.self = m_settings.self;
+    m_settings.owners.data_centre = m_settings.data_centre;
+    m_settings.owners.shards = static_cast<std::uint32_t>(centre->second.shards);
+    m_settings.jobs.data_centre = m_settings.data_centre;
+    m_settings.workers.self = m_settings.self;
+    m_settings.workers.data_centre = m_settings.data_centre;
+    m_settings.routing.self = m_settings.self;
+    m_settings.routing.data_centre = m_settings.data_centre;
+    m_owners = std::make_unique<ownership>(m_settings.owners, m_random());
+    m_jobs = std::make_unique<job_owner>(m_settings.jobs, *m_owners, m_counters,
+                                         m_settings.workers, m_random());
+    m_router = std::make_unique<router>(m_settings.routing, *m_owners, *m_jobs, m_counters);
+}
+
+void node::install_config(instant now, action_list& out)
+{
+    if (!m_owners)
+        create_parts();
+    log(out, "event=config_in_force revision=" + std::to_string(m_config.revision()));
+    if (!m_owners)
+        return;
+    m_jobs->configure(m_config.current());
+    if (!m_have_listing)
+        return;
+    m_owners->on_host_list(now, m_listing.hosts);
+    m_router->set_hosts(m_listing.hosts);
+    m_jobs->dispatch().set_leaving_workers(m_listing.leaving_workers);
+}
+
+void node::tick(instant now, action_list& out)
+{
+    if (!m_hosts_asked && now.steady >= m_next_hosts)
+    {
+        m_hosts_asked = true;
+        out.push_back(actions::fetch_hosts{});
+    }
+    read_streams(now, out);
+    ask_far_hosts(now, out);
+    if (!m_owners)
+        return stamp(out);
+    ownership_events events;
+    m_owners->on_tick(now, out, events);
+    apply_events(now, events, out);
+    tick_handovers(now, out);
+    keep_snapshot(now, out);
+    m_jobs->dispatch().set_share(static_cast<double>(m_owners->owned_count()) /
+                                 static_cast<double>(m_owners->shard_count()));
+    m_jobs->on_tick(now, out);
+    m_router->on_tick(now, out);
+    settle(now, out);
+}
+
+void node::settle(instant now, action_list& out)
+{
+    m_router->collect(now, out);
+    m_jobs->dispatch().pump(now, out);
+    stamp(out);
+}
+
+void node::stamp(action_list& out) const
+{
+    for (auto& action : out)
+    {
+        auto* message = std::get_if<actions::send_peer>(&action);
+        if (message == nullptr || message->message.has_from())
+            continue;
+        to_wire(m_settings.self, *message->message.mutable_from());
+        if (!message->message.has_heartbeat())
+            continue;
+        auto& beat = *message->message.mutable_heartbeat();
+        beat.set_config_revision(m_config.revision());
+        beat.set_open_jobs(static_cast<std::uint32_t>(m_jobs->open_jobs()));
+    }
+}
+
+bool node::valid_call(instant, std::uint64_t number, wire::Call& call, action_list& out) const
+{
+    const auto refuse = [&](answer_kind kind, std::string detail)
+    {
+        out.push_back(actions::reply_call{number, make_answer(kind, std::move(detail))});
+        return false;
+    };
+    const auto key = parse_job_key(call.key());
+    if (!key)
+        return refuse(answer_kind::bad_key, key.error().message);
+    if (!m_owners)
+        return refuse(answer_kind::no_configuration, {});
+    const auto& config = *m_config.current();
+    if (!config.teams.contains(call.team()))
+        return refuse(answer_kind::unknown_team, call.team());
+    if (!config.data_centres.contains(key->data_centre))
+        return refuse(answer_kind::wrong_data_centre, key->data_centre);
+    constexpr std::uint32_t query_time_ms = 2000;
+    if (call.kind() != wire::SUBMIT)
+    {
+        call.set_remaining_ms(query_time_ms);
+        return true;
+    }
+    const auto service = config.services.find(call.job().service());
+    if (service == config.services.end())
+        return refuse(answer_kind::unknown_service, call.job().service());
+    if (call.job().tasks_size() == 0)
+        return refuse(answer_kind::bad_request, "a job has at least one task");
+    if (call.job().tasks_size() > static_cast<int>(m_settings.jobs.most_tasks))
+        return refuse(answer_kind::too_large,
+                      "at most " + std::to_string(m_settings.jobs.most_tasks) + " tasks a job");
+    if (call.job().deadline_ms() > most_deadline.count())
+        return refuse(answer_kind::bad_request, "deadline_ms is at most one hour");
+    call.set_remaining_ms(call.job().deadline_ms() > 0
+                              ? call.job().deadline_ms()
+                              : static_cast<std::uint32_t>(service->second.deadline_ms));
+    return true;
+}
+
+void node::on_call(instant now, std::uint64_t number, wire::Call call, action_list& out)
+{
+    if (!valid_call(now, number, call, out))
+        return;
+    const auto key = parse_job_key(call.key());
+    m_router->on_local(now, number, std::move(call), *key, out);
+    settle(now, out);
+}
+
+void node::on_caller_gone(std::uint64_t number)
+{
+    if (m_router)
+        m_router->on_local_gone(number);
+}
+
+void node::on_peer(instant now, wire::PeerMessage message, action_list& out)
+{
+    const auto from = from_wire(message.from());
+    auto& known = m_peer_incarnations[from.name];
+    if (from.incarnation < known)
+        return; // late words of a process that is over
+    known = from.incarnation;
+    if (message.has_config_state() || message.has_config_records() || message.has_config_request())
+        return on_config_message(now, from, message, out);
+    if (!m_owners)
+        return;
+    if (message.has_heartbeat())
+        on_heartbeat(now, from, message.heartbeat(), out);
+    else if (message.has_heartbeat_ack())
+        m_owners->on_heartbeat_ack(now, from, message.heartbeat_ack());
+    else if (message.has_call())
+        m_router->on_peer_call(now, from, std::move(*message.mutable_call()), out);
+    else if (message.has_call_reply())
+        m_router->on_peer_reply(now, from, std::move(*message.mutable_call_reply()), out);
+    else if (message.has_handover())
+        on_handover_state(from, message.handover(), out);
+    else if (message.has_handover_ack())
+        on_handover_ack(now, from, message.handover_ack());
+    settle(now, out);
+}
+
+void node::on_heartbeat(instant now, const host_ref& from, const wire::Heartbeat& beat,
+                        action_list& out)
+{
+    if (beat.config_revision() > m_config.revision())
+    {
+        wire::PeerMessage ask;
+        ask.mutable_config_request()->set_next_offset(m_config.next_offset());
+        ask.mutable_config_request()->set_revision(m_config.revision());
+        send(from.name, std::move(ask), out);
+    }
+    ownership_events events;
+    m_owners->on_heartbeat(now, from, beat, out, events);
+    apply_events(now, events, out);
+}
+
+void node::on_config_message(instant now, const host_ref& from, const wire::PeerMessage& message,
+                             action_list& out)
+{
+    bool changed = false;
+    if (message.has_config_request())
+        offer_config(from, message.config_request(), out);
+    else if (message.has_config_state())
+        changed = m_config.on_state(message.config_state());
+    else if (message.config_records().entries_size() > 0 &&
+             message.config_records().entries(0).offset() <= m_config.next_offset() &&
+             m_config.revision() > 0)
+    {
+        log_page page{1, m_config.next_offset(), {}};
+        for (const auto& entry : message.config_records().entries())
+            page.entries.push_back({entry.offset(), entry.data()});
+        changed = m_config.on_page(page);
+    }
+    if (changed)
+        install_config(now, out);
+    stamp(out);
+}
+
+void node::on_handover_ack(instant now, const host_ref& from, const wire::HandoverAck& ack)
+{
+    const auto open = m_handovers.find(ack.shard());
+    if (open == m_handovers.end() || open->second.to != from || open->second.acknowledged ||
+        open->second.serial != ack.serial() || !m_owners->handing_over(ack.shard()))
+        return;
+    open->second.acknowledged = true;
+    m_owners->finish_handover(now, ack.shard(), from);
+}
+
+void node::on_handover_state(const host_ref& from, const wire::HandoverState& state,
+                             action_list& out)
+{
+    if (state.shard() >= m_owners->shard_count())
+        return;
+    m_jobs->remember(state);
+    m_owners->on_memory_received(state.shard(), from_wire(state.epoch()));
+    wire::PeerMessage reply;
+    reply.mutable_handover_ack()->set_shard(state.shard());
+    *reply.mutable_handover_ack()->mutable_epoch() = state.epoch();
+    reply.mutable_handover_ack()->set_serial(state.serial());
+    send(from.name, std::move(reply), out);
+}
+
+void node::on_worker(instant now, std::uint64_t request, worker_answer answer, action_list& out)
+{
+    if (!m_jobs)
+        return;
+    m_jobs->on_worker_answer(now, request, answer, out);
+    settle(now, out);
+}
+
+void node::on_host_list(instant now, const expected<host_listing>& listing, action_list& out)
+{
+    m_hosts_asked = false;
+    m_next_hosts = now.steady + microseconds{m_settings.host_list_every};
+    if (!listing)
+        return;
+    if (!m_have_listing)
+        log(out, "event=host_list hosts=" + std::to_string(listing->hosts.size()));
+    m_listing = *listing;
+    m_have_listing = true;
+    if (!m_owners)
+        return;
+    m_owners->on_host_list(now, m_listing.hosts);
+    m_router->set_hosts(m_listing.hosts);
+    m_jobs->dispatch().set_leaving_workers(m_listing.leaving_workers);
+}
+
+// The host with the lowest name of those heard reads for all.
+bool node::reads_config(instant now) const
+{
+    if (!m_owners)
+        return true;
+    const auto peers = m_owners->live_peers(now);
+    return std::none_of(peers.begin(), peers.end(), [&](const host_ref& peer)
+                        { return peer.name < m_settings.self.name; });
+}
+
+void node::read_stream(stream_reader& reader, std::uint64_t from, instant now, action_list& out)
+{
+    if (reader.asked || now.steady < reader.next)
+        return;
+    reader.asked = true;
+    // Until the first page is known there is something to catch up with: no waiting.
+    const auto wait = reader.answered ? m_settings.log_wait : milliseconds{0};
+    out.push_back(actions::read_log{reader.name, from, wait});
+}
+
+void node::read_streams(instant now, action_list& out)
+{
+    read_stream(m_config_reader, m_config.next_offset(), now, out);
+    if (m_owners)
+        read_stream(m_claims_reader, m_owners->next_offset(), now, out);
+}
+
+void node::on_log_read(instant now, const std::string& stream, const expected<log_page>& page,
+                       action_list& out)
+{
+    const bool claims = stream == m_claims_reader.name;
+    auto& reader = claims ? m_claims_reader : m_config_reader;
+    reader.asked = false;
+    reader.answered = reader.answered || page.has_value();
+    reader.next = now.steady + (page ? microseconds{0} : microseconds{m_settings.log_retry});
+    if (!claims)
+    {
+        if (!reads_config(now))
+            reader.next = now.steady + spare_reader_every;
+        if (page)
+            on_config_page(now, *page, out);
+        return;
+    }
+    if (!m_owners)
+        return;
+    if (!page)
+    {
+        if (m_owners->log_reachable())
+            log(out, "event=log_unreachable detail=\"" + page.error().message + "\"");
+        m_owners->on_log_reachable(now, false);
+        return;
+    }
+    ownership_events events;
+    m_owners->on_log_page(now, *page, events);
+    apply_events(now, events, out);
+    settle(now, out);
+}
+
+void node::on_config_page(instant now, const log_page& page, action_list& out)
+{
+    const auto from = m_config.next_offset();
+    const bool changed = m_config.on_page(page);
+    if (m_config.saw_snapshot() || m_snapshot_seen < microseconds{0})
+    {
+        m_snapshot_seen = now.steady;
+        m_config.clear_snapshot_seen();
+    }
+    if (!changed)
+        return;
+    install_config(now, out);
+    hand_on_config(now, from, out);
+}
+
+void node::hand_on_config(instant now, std::uint64_t from, action_list& out)
+{
+    if (!m_owners)
+        return;
+    wire::PeerMessage message;
+    for (const auto& entry : m_config.recent())
+    {
+        if (entry.offset < from)
+            continue;
+        auto& line = *message.mutable_config_records()->add_entries();
+        line.set_offset(entry.offset);
+        line.set_data(entry.data);
+    }
+    if (message.config_records().entries_size() == 0)
+        return;
+    for (const auto& peer : m_owners->live_peers(now, true))
+        send(peer.name, message, out);
+}
+
+void node::offer_config(const host_ref& to, const wire::ConfigRequest& request, action_list& out)
+{
+    if (request.revision() >= m_config.revision())
+        return;
+    wire::PeerMessage message;
+    const auto& recent = m_config.recent();
+    const bool covered = !recent.empty() && request.revision() > 0 &&
+                         recent.front().offset <= request.next_offset();
+    if (!covered)
+        *message.mutable_config_state() = m_config.state();
+    else
+        for (const auto& entry : recent)
+        {
+            if (entry.offset < request.next_offset())
+                continue;
+            auto& line = *message.mutable_config_records()->add_entries();
+            line.set_offset(entry.offset);
+            line.set_data(entry.data);
+        }
+    send(to.name, std::move(message), out);
+}
+
+void node::ask_far_hosts(instant now, action_list& out)
+{
+    if (!m_have_listing || now.steady < m_next_far_ask)
+        return;
+    m_next_far_ask = now.steady + far_ask_every;
+    std::vector<std::string> far;
+    for (const auto& host : m_listing.hosts)
+        if (host.name != m_settings.self.name &&
+            (host.data_centre != m_settings.data_centre || !m_owners))
+            far.push_back(host.name);
+    if (far.empty())
+        return;
+    wire::PeerMessage ask;
+    ask.mutable_config_request()->set_next_offset(m_config.next_offset());
+    ask.mutable_config_request()->set_revision(m_config.revision());
+    send(far[m_random() % far.size()], std::move(ask), out);
+}
+
+void node::keep_snapshot(instant now, action_list& out)
+{
+    if (m_snapshot_seen < microseconds{0} || !m_owners->log_reachable() || !reads_config(now) ||
+        now.steady - m_snapshot_seen < microseconds{m_settings.snapshot_every})
+        return;
+    m_snapshot_seen = now.steady;
+    out.push_back(actions::append_log{config_stream, m_config.snapshot().SerializeAsString()});
+}
+
+void node::apply_events(instant now, const ownership_events& events, action_list& out)
+{
+    for (const auto shard : events.lost)
+    {
+        m_handovers.erase(shard);
+        m_jobs->on_lost(shard);
+        log(out, "event=shard_lost shard=" + std::to_string(shard) +
+                     " owner=" + m_owners->owner_of(shard).name);
+    }
+    for (const auto& gained : events.gained)
+    {
+        m_jobs->on_gained(now, gained);
+        log(out, "event=shard_gained shard=" + std::to_string(gained.shard) +
+                     " term=" + std::to_string(gained.owner_epoch.term) +
+                     " direct=" + std::to_string(gained.owner_epoch.direct));
+    }
+}
+
+host_ref node::least_owning_peer(instant now, std::uint32_t& owned) const
+{
+    host_ref least;
+    for (const auto& peer : m_owners->live_peers(now))
+    {
+        auto count = m_owners->owned_by(peer.name);
+        for (const auto& [shard, open] : m_handovers)
+            count += open.to == peer ? 1 : 0;
+        if (!least.empty() && count >= owned)
+            continue;
+        least = peer;
+        owned = count;
+    }
+    return least;
+}
+
+void node::start_handover(instant now, std::uint32_t shard, const host_ref& to, action_list& out)
+{
+    m_owners->begin_handover(shard);
+    const auto serial = ++m_handover_serial;
+    m_handovers[shard] = {to, serial, now.steady, false};
+    wire::PeerMessage message;
+    *message.mutable_handover() = m_jobs->memory_of(shard);
+    message.mutable_handover()->set_serial(serial);
+    send(to.name, std::move(message), out);
+    log(out, "event=handover shard=" + std::to_string(shard) + " to=" + to.name);
+}
+
+void node::tick_handovers(instant now, action_list& out)
+{
+    for (auto open = m_handovers.begin(); open != m_handovers.end();)
+    {
+        const auto [shard, state] = *open;
+        const bool over = !m_owners->owned_by_self(shard) || !m_owners->handing_over(shard);
+        const bool late = !state.acknowledged && now.steady - state.sent > handover_timeout;
+        if (late && !over)
+            m_owners->cancel_handover(shard);
+        open = over || late ? m_handovers.erase(open) : std::next(open);
+    }
+    if (m_owners->log_reachable() && now.steady >= m_next_rebalance)
+        rebalance(now, out);
+}
+
+void node::rebalance(instant now, action_list& out)
+{
+    m_next_rebalance = now.steady + microseconds{m_settings.rebalance_every};
+    for (std::uint32_t shard = 0; shard < m_owners->shard_count(); ++shard)
+    {
+        if (!m_owners->may_serve(shard, now) || m_handovers.contains(shard))
+            continue;
+        std::uint32_t theirs = 0;
+        const auto to = least_owning_peer(now, theirs);
+        const auto ours =
+            m_owners->owned_count() - static_cast<std::uint32_t>(m_handovers.size());
+        if (to.empty() || (!m_leaving && ours <= theirs + rebalance_slack))
+            return;
+        start_handover(now, shard, to, out);
+        if (!m_leaving)
+            return;
+    }
+}
+
+void node::begin_stop(instant now)
+{
+    m_leaving = true;
+    m_next_rebalance = now.steady;
+    if (m_owners)
+        m_owners->leave();
+}
+
+bool node::stopped(instant now) const
+{
+    if (!m_owners)
+        return true;
+    const bool nobody_to_take = m_owners->live_peers(now).empty();
+    return m_router->open_calls() == 0 && (m_owners->owned_count() == 0 || nobody_to_take);
+}
+
+node_dump node::dump(instant now) const
+{
+    node_dump text;
+    text.host = m_settings.self.name;
+    text.incarnation = m_settings.self.incarnation;
+    text.data_centre = m_settings.data_centre;
+    text.ready = ready();
+    text.leaving = m_leaving;
+    text.revision = m_config.revision();
+    text.counters = m_counters;
+    for (const auto& p : m_config.history())
+        text.publications.push_back({p.id, p.author, p.revision, p.verdict, p.objects, p.detail});
+    if (!m_owners)
+        return text;
+    text.log_reachable = m_owners->log_reachable();
+    text.open_calls = m_router->open_calls();
+    text.open_jobs = m_jobs->open_jobs();
+    text.queued_tasks = m_jobs->dispatch().queued();
+    text.outstanding_tasks = m_jobs->dispatch().outstanding();
+    text.remembered_jobs = m_jobs->memory().size();
+    text.remembered_bytes = m_jobs->memory().answer_bytes() + m_jobs->memory().state_bytes();
+    text.recovered_jobs = m_jobs->history().job_count();
+    for (const auto& peer : m_owners->live_peers(now, true))
+        text.peers.push_back(peer.name);
+    for (std::uint32_t shard = 0; shard < m_owners->shard_count(); ++shard)
+        text.shards.push_back({shard, m_owners->owner_of(shard).name,
+                               m_owners->epoch_of(shard).term, m_owners->epoch_of(shard).direct,
+                               m_owners->may_serve(shard, now),
+                               m_jobs->history().collecting(shard)});
+    for (const auto& worker : m_jobs->dispatch().workers())
+        text.workers.push_back({worker->about.name, worker->lease,
+                                static_cast<std::uint32_t>(worker->outstanding.size()),
+                                worker->others, worker->health, worker->leaving});
+    return text;
+}
+
+} // namespace egretledge
--- /dev/null
+++ b/src/core/ownership.cpp
@@ -0,0 +1,688 @@
+// Ownership of shards: a log-ordered table, and a lease from one grantor.
+//
+// The keys of a data centre fall into a fixed number of shards. For each shard the platform's log
+// holds claims. A claim names an owner, a grantor, and the term it was based on; it wins if that
+// term is still the current one at the claim's place in the log, and its own place then is the new
+// term. Every host that reads the log comes to the same table, whatever its list of hosts says, so
+// two hosts that both believe they should own a shard are told apart by the log's order.
+//
+// The log is off the path of requests. What lets an owner act from moment to moment is a lease:
+// the grantor acknowledges the owner's heartbeats, and each acknowledgement promises that the
+// grantor will not move for a lease's length after it. The owner counts from when it SENT the
+// heartbeat, the grantor from when it ANSWERED it, plus a margin and 1% for drift. So when a
+// grantor moves, the owner's lease is over, paused or not.
+//
+// Who may change what:
+//  1. The grantor, after a silent lease, appends a claim. From then on it renews nothing, since an
+//     append whose answer was lost may still take effect; it repeats the claim until the log shows
+//     a winner.
+//  2. The owner, if its grantor falls silent, may claim its own shard again with a new grantor.
+//     From then on its old lease is frozen: the new grantor counts a full lease from the moment it
+//     reads the claim, which is later than the claim was made.
+//  3. While the owner cannot reach the log it says so in its heartbeats ("direct"). A grantor that
+//     last heard "direct" takes over on its own word, without the log, and is then the sole holder.
+//     An owner that has said "direct" gives up right 2 until the grantor acknowledges a heartbeat
+//     without it: at any time, at most one of the two can move the shard without the other.
+//  4. Any other host may claim only when both owner and grantor are proven to be over: a higher
+//     incarnation of the same name was heard, or the platform's list named the host and now does
+//     not. Silence alone proves nothing.
+//  5. A shard without any claim may be claimed by all; the log decides.
+//
+// The trade-off: no vote and no quorum, so one silent grantor in an outage of the log stalls its
+// owner's shards until it is proven over or back; but a data centre that is cut off from the
+// platform serves on with two hosts, or with one that took over from the other.
+//
+// A "not run" must stay true after its giver died. So the owner gives it only for keys made up to a
+// bound that its grantor has acknowledged; the bound travels in the heartbeats and is raised ahead
+// of need. A grantor that takes over then knows which keys may have been refused: in calm times
+// none. Anyone else who takes over has to assume all.
+//
+// The epoch (term, direct) fences at the workers: a start under a lower epoch than the worker has
+// seen for the shard is refused.
+
+#include "core/ownership.hpp"
+#include "core/check.hpp"
+#include "core/wire.hpp"
+#include <algorithm>
+
+namespace egretledge
+{
+
+namespace
+{
+
+constexpr int drift_divisor = 100;
+constexpr const char* handover_reason = "handover";
+constexpr std::size_t beats_remembered = 32;
+constexpr microseconds settle_time = milliseconds{600};
+constexpr microseconds rank_delay = milliseconds{700};
+constexpr std::uint32_t grantor_step = 1;
+// The owner that resumes after its grantor is over must pass the epoch that the grantor may have
+// taken.
+constexpr std::uint32_t owner_step = 2;
+
+} // namespace
+
+ownership::ownership(ownership_settings settings, std::uint64_t seed)
+    : m_settings(std::move(settings)), m_random(seed), m_shards(m_settings.shards)
+{
+    EGRET_CHECK(m_settings.shards > 0, "a data centre has at least one shard");
+    EGRET_CHECK(m_settings.lease > 4 * m_settings.heartbeat_every,
+                "a lease spans several heartbeats");
+}
+
+microseconds ownership::silence_limit() const
+{
+    const microseconds lease = m_settings.lease;
+#ifdef EGRETLEDGE_BREAK_LEASE
+    return lease / 4; // a deliberately broken build, see scripts/check-broken.sh
+#endif
+    return lease + lease / drift_divisor + m_settings.margin;
+}
+
+bool ownership::owned_by_self(std::uint32_t shard) const
+{
+    return m_shards.at(shard).owner == m_settings.self;
+}
+
+bool ownership::lease_valid(const shard_state& state, instant now) const
+{
+    return state.sole || now.steady < state.lease_until;
+}
+
+bool ownership::may_serve(std::uint32_t shard, instant now) const
+{
+    const auto& state = m_shards.at(shard);
+    return state.owner == m_settings.self && !state.handing_over && lease_valid(state, now);
+}
+
+microseconds ownership::serves_until(std::uint32_t shard, instant now) const
+{
+    if (!may_serve(shard, now))
+        return microseconds{0};
+    const auto& state = m_shards.at(shard);
+    return state.sole ? now.steady + m_settings.lease : state.lease_until;
+}
+
+std::uint32_t ownership::owned_count() const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(m_shards.begin(), m_shards.end(),
+                      [&](const shard_state& s) { return s.owner == m_settings.self; }));
+}
+
+std::uint32_t ownership::owned_by(const std::string& host) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(m_shards.begin(), m_shards.end(),
+                      [&](const shard_state& s) { return s.owner.name == host; }));
+}
+
+std::vector<host_ref> ownership::live_peers(instant now, bool with_leaving) const
+{
+    std::vector<host_ref> live;
+    for (const auto& [name, peer] : m_peers)
+    {
+        const bool heard = peer.incarnation != 0 && now.steady - peer.heard < m_settings.lease;
+        if (heard && (with_leaving || !peer.leaving))
+            live.push_back({name, peer.incarnation});
+    }
+    return live;
+}
+
+// The next host after `owner` in the ring of names; this host itself if it is not the owner.
+host_ref ownership::pick_grantor(instant now, const host_ref& owner) const
+{
+    auto candidates = live_peers(now);
+    if (!m_leaving)
+        candidates.push_back(m_settings.self);
+    std::erase_if(candidates, [&](const host_ref& h) { return h.name == owner.name; });
+    if (candidates.empty())
+        return {};
+    std::sort(candidates.begin(), candidates.end());
+    const auto next = std::find_if(candidates.begin(), candidates.end(),
+                                   [&](const host_ref& h) { return h.name > owner.name; });
+    return next == candidates.end() ? candidates.front() : *next;
+}
+
+// This host's place among those that may claim `shard`, so that a fresh data centre spreads its
+// shards evenly and hosts rarely race.
+std::size_t ownership::claim_rank(std::uint32_t shard, instant now) const
+{
+    auto candidates = live_peers(now);
+    candidates.push_back(m_settings.self);
+    std::sort(candidates.begin(), candidates.end());
+    const auto self = std::find(candidates.begin(), candidates.end(), m_settings.self);
+    const auto index = static_cast<std::size_t>(self - candidates.begin());
+    return (index + candidates.size() - shard % candidates.size()) % candidates.size();
+}
+
+bool ownership::proven_over(const host_ref& host, instant now) const
+{
+    if (host.empty())
+        return true;
+    if (host.name == m_settings.self.name)
+        return host.incarnation < m_settings.self.incarnation;
+    const auto peer = m_peers.find(host.name);
+    if (peer != m_peers.end())
+    {
+        if (peer->second.incarnation > host.incarnation)
+            return true;
+        if (peer->second.incarnation == host.incarnation &&
+            now.steady - peer->second.heard < m_settings.lease)
+            return false;
+    }
+    const auto omitted = m_unlisted.find(host.name);
+    if (omitted == m_unlisted.end())
+        return false;
+    // A host that was listed and no longer is has been ended by the platform. One that this
+    // process never saw listed may only be new: the list gets its full lag to name it.
+    return m_listed.contains(host.name) ||
+           now.steady - omitted->second > microseconds{m_settings.host_list_lag};
+}
+
+void ownership::on_host_list(instant now, const std::vector<listed_host>& hosts)
+{
+    std::vector<std::string> named;
+    for (const auto& host : hosts)
+    {
+        if (host.data_centre != m_settings.data_centre)
+            continue;
+        named.push_back(host.name);
+        m_listed[host.name] = now.steady;
+        m_unlisted.erase(host.name);
+        if (host.name != m_settings.self.name)
+            m_peers.try_emplace(host.name);
+    }
+    m_list_read = now.steady;
+    const auto note_missing = [&](const std::string& name)
+    {
+        if (!name.empty() && std::find(named.begin(), named.end(), name) == named.end())
+            m_unlisted.try_emplace(name, now.steady);
+    };
+    for (const auto& shard : m_shards)
+    {
+        note_missing(shard.owner.name);
+        note_missing(shard.grantor.name);
+    }
+    for (const auto& [name, peer] : m_peers)
+        note_missing(name);
+}
+
+// A log that starts above 0 may have dropped the claim of a live owner. A shard that seems unowned
+// is then claimed only if every listed host of the data centre was heard.
+bool ownership::aged_out_safely(instant now) const
+{
+    if (m_first_kept == 0)
+        return true;
+    if (m_list_read < microseconds{0})
+        return false;
+    for (const auto& [name, listed] : m_listed)
+    {
+        if (name == m_settings.self.name || m_unlisted.contains(name))
+            continue;
+        const auto peer = m_peers.find(name);
+        const bool heard =
+            peer != m_peers.end() && peer->second.incarnation != 0 &&
+            now.steady - peer->second.heard < microseconds{m_settings.lease};
+        if (!heard)
+            return false;
+    }
+    return true;
+}
+
+void ownership::on_log_reachable(instant, bool reachable) { m_log_reachable = reachable; }
+
+void ownership::on_log_page(instant now, const log_page& page, ownership_events& events)
+{
+    m_log_read = true;
+    m_log_reachable = true;
+    m_first_kept = page.first_kept;
+    for (const auto& entry : page.entries)
+    {
+        if (entry.offset < m_next_offset)
+            continue;
+        m_next_offset = entry.offset + 1;
+        wire::LogRecord record;
+        if (record.ParseFromString(entry.data) && record.has_claim())
+            apply_claim(now, entry.offset, record.claim(), events);
+    }
+    m_next_offset = std::max(m_next_offset, page.next);
+}
+
+void ownership::apply_claim(instant now, std::uint64_t offset, const wire::Claim& claim,
+                            ownership_events& events)
+{
+    if (claim.shard() >= m_shards.size())
+        return;
+    auto& state = m_shards[claim.shard()];
+    // A reader that began after old records aged out may have taken a losing claim for a winner.
+    // A base between that claim's own base and its term gives it away: no such term could exist if
+    // it had won.
+    const bool corrects = m_first_kept > 0 && claim.base_term() > state.log_base &&
+                          claim.base_term() < state.log_term;
+    const bool first_seen = state.log_term == 0 && m_first_kept > 0;
+    if (claim.base_term() != state.log_term && !corrects && !first_seen)
+    {
+        if (from_wire(claim.owner()) == m_settings.self)
+            ++m_claims_lost;
+        return;
+    }
+    state.log_base = claim.base_term();
+    state.log_term = offset + 1;
+    const epoch won{offset + 1, 0};
+    if (won < state.current)
+        return;
+    set_owner(claim.shard(), now, won, from_wire(claim.owner()), from_wire(claim.grantor()),
+              claim.reason() == handover_reason, events);
+}
+
+void ownership::set_owner(std::uint32_t shard, instant now, epoch current, const host_ref& owner,
+                          const host_ref& grantor, bool with_memory, ownership_events& events)
+{
+    auto& state = m_shards[shard];
+    const bool was_self = state.owner == m_settings.self;
+    const bool is_self = owner == m_settings.self;
+    const bool had_memory =
+        with_memory && state.memory_under == state.current && state.current.term != 0;
+    const bool same_owner = state.owner == owner;
+    const bool never_owned = state.current.term == 0 && m_first_kept == 0;
+    gained_shard gain{shard, current, gain_reason::takeover, state.renewed, state.refusals_until};
+    if (!same_owner || state.grantor != grantor)
+    {
+        state.refusals_acked = milliseconds{0};
+        state.refusals_beat = 0;
+    }
+    state.current = current;
+    state.owner = owner;
+    state.grantor = grantor;
+    state.learned = now.steady;
+    state.claim_open = false;
+    state.frozen = false;
+    state.offered = false;
+    state.handing_over = false;
+    state.handover_to = {};
+    state.sole = is_self && grantor.empty();
+    if (!same_owner)
+    {
+        state.direct_held = false;
+        state.promised = microseconds{0};
+        state.renewed = false;
+        state.refusals_until = milliseconds{0};
+        state.refusals_wanted = milliseconds{0};
+    }
+    if (is_self && !state.sole && state.claimed_at > microseconds{0})
+        state.lease_until =
+            std::max(state.lease_until, state.claimed_at + microseconds{m_settings.lease});
+    if (!is_self)
+        state.lease_until = microseconds{0};
+    state.claimed_at = microseconds{0};
+    state.direct_given = false;
+    state.lapsed = false;
+    if (was_self && !is_self)
+        events.lost.push_back(shard);
+    if (!was_self && is_self)
+    {
+        gain.reason = never_owned  ? gain_reason::first
+                      : had_memory ? gain_reason::handed_over
+                                   : gain_reason::takeover;
+        events.gained.push_back(gain);
+        m_next_heartbeat = now.steady;
+    }
+}
+
+void ownership::take_directly(std::uint32_t shard, instant now, std::uint32_t steps,
+                              ownership_events& events)
+{
+    auto& state = m_shards[shard];
+    const epoch next{state.current.term, state.current.direct + steps};
+    const bool was_self = state.owner == m_settings.self;
+    set_owner(shard, now, next, m_settings.self, {}, false, events);
+    if (was_self)
+        events.gained.push_back({shard, next, gain_reason::takeover, false, milliseconds{0}});
+}
+
+void ownership::claim(std::uint32_t shard, instant now, const host_ref& owner,
+                      const host_ref& grantor, const char* reason, action_list& out)
+{
+    auto& state = m_shards[shard];
+    if (now.steady < state.claim_after)
+        return;
+    const auto retry = microseconds{m_settings.claim_retry};
+    std::uniform_int_distribution<std::int64_t> jitter(0, retry.count() / 4);
+    state.claim_after = now.steady + retry + microseconds{jitter(m_random)};
+    state.claim_open = true;
+    // The earliest attempt counts: it may be the one that takes effect.
+    if (owner == m_settings.self && state.claimed_at == microseconds{0})
+        state.claimed_at = now.steady;
+    wire::LogRecord record;
+    auto& body = *record.mutable_claim();
+    body.set_shard(shard);
+    body.set_base_term(state.log_term);
+    to_wire(owner, *body.mutable_owner());
+    to_wire(grantor, *body.mutable_grantor());
+    body.set_reason(reason);
+    ++m_claims_made;
+    out.push_back(
+        actions::append_log{"ownership." + m_settings.data_centre, record.SerializeAsString()});
+}
+
+void ownership::on_tick(instant now, action_list& out, ownership_events& events)
+{
+    if (m_started < microseconds{0})
+        m_started = now.steady;
+    for (std::uint32_t shard = 0; shard < m_shards.size(); ++shard)
+    {
+        if (owned_by_self(shard))
+            tick_owner(shard, now, out, events);
+        else if (m_shards[shard].grantor == m_settings.self)
+            tick_grantor(shard, now, out, events);
+        else
+            tick_bystander(shard, now, out);
+    }
+    if (now.steady >= m_next_heartbeat)
+        send_heartbeats(now, out);
+}
+
+void ownership::tick_owner(std::uint32_t shard, instant now, action_list& out,
+                           ownership_events& events)
+{
+    auto& state = m_shards[shard];
+    if (state.direct_given && !lease_valid(state, now))
+        state.lapsed = true;
+    if (!state.handover_to.empty())
+        return retry_handover(shard, now, out);
+    if (state.sole)
+    {
+        const auto grantor = pick_grantor(now, m_settings.self);
+        if (m_log_reachable && !grantor.empty())
+        {
+            // Nobody else can move a sole holder's shard, so the new grantor's promises count
+            // from now, before its claim is read.
+            claim(shard, now, m_settings.self, grantor, "grantor", out);
+            if (state.claim_open)
+            {
+                state.sole = false;
+                state.offered = true;
+                state.grantor = grantor;
+                state.lease_until = now.steady + microseconds{m_settings.lease};
+            }
+        }
+        return;
+    }
+    seek_grantor(shard, now, out, events);
+    if (m_log_reachable && !state.claim_open && !state.direct_given && !state.handing_over &&
+        now.steady - state.learned > microseconds{m_settings.claim_refresh})
+        claim(shard, now, m_settings.self, state.grantor, "refresh", out);
+}
+
+// Replaces a grantor that is over, silent or leaving.
+void ownership::seek_grantor(std::uint32_t shard, instant now, action_list& out,
+                             ownership_events& events)
+{
+    auto& state = m_shards[shard];
+    const bool over = proven_over(state.grantor, now);
+    if (state.offered)
+    {
+        state.sole = over;
+        return claim(shard, now, m_settings.self, state.grantor, "grantor", out);
+    }
+    if (over && !state.claim_open)
+    {
+        if (lease_valid(state, now))
+        {
+            // The lease never lapsed, so the grantor never moved, and now it cannot.
+            state.sole = true;
+            state.grantor = {};
+            state.direct_given = false;
+            return;
+        }
+        if (state.direct_given)
+            return take_directly(shard, now, owner_step, events);
+    }
+    if (state.direct_given)
+        return;
+    const auto peer = m_peers.find(state.grantor.name);
+    const bool leaving = peer != m_peers.end() && peer->second.leaving;
+    const bool silent = state.lease_until - now.steady < microseconds{m_settings.lease} / 2;
+    if (!over && !silent && !state.claim_open && !(leaving && m_log_reachable))
+        return;
+    auto next = pick_grantor(now, m_settings.self);
+    if (next == state.grantor && !silent)
+        return;
+    if (next.empty() && !over)
+        next = state.grantor;
+    claim(shard, now, m_settings.self, next, "new grantor", out);
+    state.frozen = state.frozen || state.claim_open;
+}
+
+void ownership::tick_grantor(std::uint32_t shard, instant now, action_list& out,
+                             ownership_events& events)
+{
+    auto& state = m_shards[shard];
+    const auto heard = std::max(state.learned, state.promised);
+    if (now.steady <= heard + silence_limit() && !proven_over(state.owner, now))
+        return;
+    if (state.direct_held && !state.claim_open)
+        return take_directly(shard, now, grantor_step, events);
+    if (!m_leaving)
+        claim(shard, now, m_settings.self, pick_grantor(now, m_settings.self), "takeover", out);
+}
+
+void ownership::tick_bystander(std::uint32_t shard, instant now, action_list& out)
+{
+    auto& state = m_shards[shard];
+    if (m_leaving || !m_log_read || !m_log_reachable)
+        return;
+    const bool unowned = state.owner.empty();
+    if (unowned && !aged_out_safely(now))
+        return;
+    if (!unowned && !(proven_over(state.owner, now) && proven_over(state.grantor, now)))
+        return;
+    const auto rank = static_cast<std::int64_t>(claim_rank(shard, now));
+    const auto since = std::max(m_started, state.learned);
+    if (now.steady < since + settle_time + rank * rank_delay)
+        return;
+    claim(shard, now, m_settings.self, pick_grantor(now, m_settings.self), "unowned", out);
+}
+
+milliseconds ownership::refusal_bound(std::uint32_t shard) const
+{
+#ifdef EGRETLEDGE_BREAK_REFUSALS
+    return milliseconds::max(); // a deliberately broken build, see scripts/check-broken.sh
+#endif
+    const auto& state = m_shards.at(shard);
+    // After a sole holder only a host that assumes the worst can follow.
+    return state.sole ? milliseconds::max() : state.refusals_acked;
+}
+
+void ownership::announce_refusals(instant now, std::uint32_t shard, milliseconds until)
+{
+    auto& state = m_shards.at(shard);
+    if (until <= state.refusals_wanted)
+        return;
+    state.refusals_wanted = until;
+    state.refusals_beat = 0;
+    m_next_heartbeat = now.steady;
+}
+
+void ownership::begin_handover(std::uint32_t shard)
+{
+    EGRET_CHECK(owned_by_self(shard), "only an owner hands over");
+    m_shards[shard].handing_over = true;
+}
+
+void ownership::cancel_handover(std::uint32_t shard)
+{
+    auto& state = m_shards.at(shard);
+    if (state.handover_to.empty())
+        state.handing_over = false;
+}
+
+void ownership::finish_handover(instant, std::uint32_t shard, const host_ref& to)
+{
+    auto& state = m_shards.at(shard);
+    EGRET_CHECK(state.handing_over, "a handover begins before it ends");
+    state.handover_to = to;
+    state.claim_after = microseconds{0};
+}
+
+// Claims the shard in the receiver's name. Without a valid lease, or while the grantor may act
+// alone, the claim could overrule a takeover that the log does not know of; then it waits.
+void ownership::retry_handover(std::uint32_t shard, instant now, action_list& out)
+{
+    auto& state = m_shards[shard];
+    if (!state.claim_open && (state.direct_given || !lease_valid(state, now)))
+        return;
+    auto grantor = m_settings.self;
+    if (m_leaving)
+    {
+        auto peers = live_peers(now);
+        std::erase_if(peers, [&](const host_ref& h) { return h.name == state.handover_to.name; });
+        grantor = peers.empty() ? host_ref{} : peers.front();
+    }
+    claim(shard, now, state.handover_to, grantor, handover_reason, out);
+}
+
+void ownership::on_memory_received(std::uint32_t shard, epoch under)
+{
+    m_shards.at(shard).memory_under = under;
+}
+
+void ownership::send_heartbeats(instant now, action_list& out)
+{
+    m_next_heartbeat = now.steady + microseconds{m_settings.heartbeat_every};
+    ++m_sequence;
+    for (const auto& [name, peer] : m_peers)
+    {
+        if (m_unlisted.contains(name) && now.steady - peer.heard > 4 * silence_limit())
+            continue;
+        actions::send_peer send{name, {}};
+        auto& beat = *send.message.mutable_heartbeat();
+        beat.set_sequence(m_sequence);
+        beat.set_leaving(m_leaving);
+        for (std::uint32_t shard = 0; shard < m_shards.size(); ++shard)
+        {
+            auto& state = m_shards[shard];
+            if (state.owner != m_settings.self)
+                continue;
+            auto& line = *beat.add_owned();
+            line.set_shard(shard);
+            to_wire(state.current, *line.mutable_epoch());
+            const bool renew = !state.sole && state.grantor.name == name;
+            const bool direct = renew && !m_log_reachable && !state.claim_open;
+            line.set_renew(renew);
+            line.set_direct(direct);
+            line.set_refusals_until_ms(state.refusals_wanted.count());
+            if (renew && state.refusals_beat == 0)
+                state.refusals_beat = m_sequence;
+            if (direct)
+            {
+                state.direct_given = true;
+                state.direct_beat = m_sequence;
+            }
+        }
+        auto& sent = m_sent[name];
+        sent.push_back({m_sequence, now.steady});
+        if (sent.size() > beats_remembered)
+            sent.erase(sent.begin());
+        out.push_back(std::move(send));
+    }
+}
+
+void ownership::note_incarnation(instant now, const host_ref& from)
+{
+    auto& peer = m_peers[from.name];
+    if (from.incarnation > peer.incarnation)
+        peer = {from.incarnation, now.steady, 0, false};
+    if (from.incarnation == peer.incarnation)
+        peer.heard = now.steady;
+}
+
+void ownership::on_heartbeat(instant now, const host_ref& from, const wire::Heartbeat& beat,
+                             action_list& out, ownership_events& events)
+{
+    note_incarnation(now, from);
+    auto& peer = m_peers[from.name];
+    // Late and doubled heartbeats are dropped: they could bring an old "direct" back.
+    if (from.incarnation < peer.incarnation || beat.sequence() <= peer.sequence)
+        return;
+    peer.sequence = beat.sequence();
+    peer.leaving = beat.leaving();
+    adopt_claims(from, now, beat, events);
+    const auto granted = grant_renewals(from, now, beat);
+    if (granted.empty())
+        return;
+    actions::send_peer reply{from.name, {}};
+    auto& ack = *reply.message.mutable_heartbeat_ack();
+    ack.set_sequence(beat.sequence());
+    for (const auto shard : granted)
+        ack.add_granted(shard);
+    out.push_back(std::move(reply));
+}
+
+// A peer that owns a shard under a later epoch than this host knows of has read more of the log,
+// or took over directly.
+void ownership::adopt_claims(const host_ref& from, instant now, const wire::Heartbeat& beat,
+                             ownership_events& events)
+{
+    for (const auto& line : beat.owned())
+    {
+        if (line.shard() >= m_shards.size())
+            continue;
+        const auto& state = m_shards[line.shard()];
+        const auto claimed = from_wire(line.epoch());
+        if (claimed > state.current)
+            set_owner(line.shard(), now, claimed, from, {}, false, events);
+    }
+}
+
+std::vector<std::uint32_t> ownership::grant_renewals(const host_ref& from, instant now,
+                                                     const wire::Heartbeat& beat)
+{
+    std::vector<std::uint32_t> granted;
+    for (const auto& line : beat.owned())
+    {
+        if (line.shard() >= m_shards.size() || !line.renew())
+            continue;
+        auto& state = m_shards[line.shard()];
+        if (state.owner != from || state.claim_open)
+            continue;
+        state.promised = now.steady;
+        state.direct_held = line.direct();
+        state.renewed = true;
+        state.refusals_until =
+            std::max(state.refusals_until, milliseconds{line.refusals_until_ms()});
+        granted.push_back(line.shard());
+    }
+    return granted;
+}
+
+void ownership::on_heartbeat_ack(instant now, const host_ref& from, const wire::HeartbeatAck& ack)
+{
+    note_incarnation(now, from);
+    const auto& sent = m_sent[from.name];
+    const auto beat =
+        std::find_if(sent.begin(), sent.end(),
+                     [&](const sent_beat& b) { return b.sequence == ack.sequence(); });
+    if (beat == sent.end())
+        return;
+    for (const auto shard : ack.granted())
+    {
+        if (shard >= m_shards.size())
+            continue;
+        auto& state = m_shards[shard];
+        if (state.owner != m_settings.self || state.grantor != from || state.frozen || state.sole)
+            continue;
+        state.lease_until =
+            std::max(state.lease_until, beat->sent + microseconds{m_settings.lease});
+        if (lease_valid(state, now))
+            state.lapsed = false;
+        if (state.refusals_beat != 0 && ack.sequence() >= state.refusals_beat)
+            state.refusals_acked = state.refusals_wanted;
+        if (ack.sequence() > state.direct_beat)
+            state.direct_given = false;
+    }
+}
+
+} // namespace egretledge
--- /dev/null
+++ b/src/core/ownership.hpp
@@ -0,0 +1,219 @@
+#ifndef EGRETLEDGE_CORE_OWNERSHIP_HPP
+#define EGRETLEDGE_CORE_OWNERSHIP_HPP
+
+// Who owns each shard of this host's data centre, and until when this host may act as an owner.
+// The algorithm and its proof stand at the top of ownership.cpp.
+
+#include "core/messages.hpp"
+#include <map>
+#include <random>
+
+namespace egretledge
+{
+
+struct ownership_settings
+{
+    host_ref self;
+    std::string data_centre;
+    std::uint32_t shards = 8;
+    // How long one acknowledged heartbeat lets an owner act.
+    milliseconds lease{2000};
+    milliseconds heartbeat_every{250};
+    // Added to the lease, with 1% for clock drift, before a grantor moves.
+    milliseconds margin{150};
+    milliseconds claim_retry{400};
+    // The longest time by which the platform's host list trails.
+    milliseconds host_list_lag{30000};
+    // A claim is written again at this age, so that it never ages out of the log.
+    milliseconds claim_refresh{std::chrono::hours{12}};
+};
+
+// Why a shard became this host's.
+enum class gain_reason : std::uint8_t
+{
+    first,      // nobody ever owned it
+    takeover,   // earlier owners may have started tasks
+    handed_over // as takeover, but the former owner's answers are known
+};
+
+struct gained_shard
+{
+    std::uint32_t shard = 0;
+    epoch owner_epoch;
+    gain_reason reason = gain_reason::takeover;
+    // The former owner was renewed here until it fell silent, so its refusals are bounded: they
+    // concern keys made up to refusals_until.
+    bool refusals_known = false;
+    milliseconds refusals_until{0};
+};
+
+// What a call to `ownership` asks of its caller, besides the actions.
+struct ownership_events
+{
+    std::vector<gained_shard> gained;
+    std::vector<std::uint32_t> lost;
+};
+
+class ownership
+{
+public:
+    ownership(ownership_settings settings, std::uint64_t seed);
+
+    // Sends heartbeats when due and makes the claims that are called for.
+    void on_tick(instant now, action_list& out, ownership_events& events);
+
+    // A page of the ownership stream was read, in order.
+    void on_log_page(instant now, const log_page& page, ownership_events& events);
+    // Whether the latest read of the ownership stream succeeded.
+    void on_log_reachable(instant now, bool reachable);
+
+    void on_heartbeat(instant now, const host_ref& from, const wire::Heartbeat& beat,
+                      action_list& out, ownership_events& events);
+    void on_heartbeat_ack(instant now, const host_ref& from, const wire::HeartbeatAck& ack);
+    void on_host_list(instant now, const std::vector<listed_host>& hosts);
+
+    // True while this host may decide for `shard`: start tasks and say "not run".
+    bool may_serve(std::uint32_t shard, instant now) const;
+    // Until when this host may start tasks of `shard`; zero if it may not.
+    microseconds serves_until(std::uint32_t shard, instant now) const;
+    epoch epoch_of(std::uint32_t shard) const { return m_shards.at(shard).current; }
+    const host_ref& owner_of(std::uint32_t shard) const { return m_shards.at(shard).owner; }
+    bool owned_by_self(std::uint32_t shard) const;
+
+    // Keys made up to this time may be answered "not run": the grantor knows that they may have been.
+    milliseconds refusal_bound(std::uint32_t shard) const;
+    milliseconds refusals_wanted(std::uint32_t shard) const
+    {
+        return m_shards.at(shard).refusals_wanted;
+    }
+    // Asks the grantor to know of refusals of keys made up to `until`.
+    void announce_refusals(instant now, std::uint32_t shard, milliseconds until);
+    // Begins to give `shard` away: until it is over or cancelled, may_serve() is false.
+    // Shards of this data centre owned by `host`, as far as this host knows.
+    std::uint32_t owned_by(const std::string& host) const;
+    void begin_handover(std::uint32_t shard);
+    // The receiver holds this host's memory of the shard: claims the shard in the receiver's name.
+    void finish_handover(instant now, std::uint32_t shard, const host_ref& to);
+    // This host now holds the memory of the owner of `shard` under `under`.
+    void on_memory_received(std::uint32_t shard, epoch under);
+    // Gives a handover up, unless the claim for it was already made.
+    void cancel_handover(std::uint32_t shard);
+    bool handing_over(std::uint32_t shard) const { return m_shards.at(shard).handing_over; }
+
+    // This host is being stopped: it claims nothing more.
+    void leave() { m_leaving = true; }
+
+    // Peers of the data centre heard within a lease, by name; leaving ones only on request.
+    std::vector<host_ref> live_peers(instant now, bool with_leaving = false) const;
+    std::uint32_t owned_count() const;
+    std::uint32_t shard_count() const { return static_cast<std::uint32_t>(m_shards.size()); }
+    std::uint64_t next_offset() const { return m_next_offset; }
+    bool log_reachable() const { return m_log_reachable; }
+
+    // Counts for metrics.
+    std::uint64_t claims_made() const { return m_claims_made; }
+    std::uint64_t claims_lost() const { return m_claims_lost; }
+
+private:
+    struct shard_state
+    {
+        epoch current;
+        std::uint64_t log_term = 0; // term of the latest winning claim read from the log
+        std::uint64_t log_base = 0; // the base_term of that claim
+        host_ref owner;
+        host_ref grantor;
+        microseconds learned{0};
+        microseconds claimed_at{0};
+
+        // As the owner.
+        microseconds lease_until{0};
+        bool sole = false;         // no other host may take this shard
+        bool offered = false;      // was the sole holder; the claim of its grantor is open
+        bool frozen = false;       // an own claim is open: the old lease is not renewed
+        bool direct_given = false; // the grantor may act without the log
+        bool lapsed = false;       // the lease lapsed since the grantor got direct_given
+        std::uint64_t direct_beat = 0; // the latest heartbeat that gave it
+        bool handing_over = false;
+        host_ref handover_to;
+
+        // Refusals: up to which key time they are wanted, and known to the grantor.
+        milliseconds refusals_wanted{0};
+        milliseconds refusals_acked{0};
+        std::uint64_t refusals_beat = 0; // the first heartbeat that said refusals_wanted
+
+        // As the grantor.
+        bool renewed = false;          // acknowledged this owner at least once
+        milliseconds refusals_until{0}; // as the owner said
+        microseconds promised{0}; // when this host last acknowledged the owner
+        bool direct_held = false;
+
+        // As a claimant.
+        bool claim_open = false;
+        microseconds claim_after{0};
+
+        epoch memory_under; // the epoch whose owner sent its memory
+    };
+
+    struct peer_state
+    {
+        std::uint64_t incarnation = 0;
+        microseconds heard{0};
+        std::uint64_t sequence = 0; // of the latest heartbeat
+        bool leaving = false;
+    };
+
+    struct sent_beat
+    {
+        std::uint64_t sequence = 0;
+        microseconds sent{0};
+    };
+
+    void send_heartbeats(instant now, action_list& out);
+    void tick_owner(std::uint32_t shard, instant now, action_list& out, ownership_events& events);
+    void tick_grantor(std::uint32_t shard, instant now, action_list& out, ownership_events& events);
+    void tick_bystander(std::uint32_t shard, instant now, action_list& out);
+    void seek_grantor(std::uint32_t shard, instant now, action_list& out, ownership_events& events);
+    void retry_handover(std::uint32_t shard, instant now, action_list& out);
+    void adopt_claims(const host_ref& from, instant now, const wire::Heartbeat& beat,
+                      ownership_events& events);
+    std::vector<std::uint32_t> grant_renewals(const host_ref& from, instant now,
+                                              const wire::Heartbeat& beat);
+    bool lease_valid(const shard_state& state, instant now) const;
+    void claim(std::uint32_t shard, instant now, const host_ref& owner, const host_ref& grantor,
+               const char* reason, action_list& out);
+    void apply_claim(instant now, std::uint64_t offset, const wire::Claim& claim,
+                     ownership_events& events);
+    void take_directly(std::uint32_t shard, instant now, std::uint32_t steps,
+                       ownership_events& events);
+    void set_owner(std::uint32_t shard, instant now, epoch current, const host_ref& owner,
+                   const host_ref& grantor, bool with_memory, ownership_events& events);
+    void note_incarnation(instant now, const host_ref& from);
+    bool proven_over(const host_ref& host, instant now) const;
+    bool aged_out_safely(instant now) const;
+    microseconds silence_limit() const;
+    host_ref pick_grantor(instant now, const host_ref& owner) const;
+    std::size_t claim_rank(std::uint32_t shard, instant now) const;
+
+    ownership_settings m_settings;
+    std::mt19937_64 m_random;
+    std::vector<shard_state> m_shards;
+    std::map<std::string, peer_state> m_peers;
+    std::map<std::string, std::vector<sent_beat>> m_sent;
+    std::map<std::string, microseconds> m_listed; // host -> when the list last named it
+    std::map<std::string, microseconds> m_unlisted; // host -> since when the list omits it
+    microseconds m_list_read{-1};
+    microseconds m_next_heartbeat{0};
+    microseconds m_started{-1};
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_next_offset = 0;
+    std::uint64_t m_first_kept = 0;
+    bool m_log_read = false;
+    bool m_log_reachable = false;
+    bool m_leaving = false;
+    std::uint64_t m_claims_made = 0;
+    std::uint64_t m_claims_lost = 0;
+};
+
+} // namespace egretledge
+
+#endif
--- /dev/null
+++ b/src/core/router.hpp
@@ -0,0 +1,106 @@
+#ifndef EGRETLEDGE_CORE_ROUTER_HPP
+#define EGRETLEDGE_CORE_ROUTER_HPP
+
+// Brings each call to the owner of its key and the answer back to where the call came from.
+//
+// A call enters from a caller of this host or from a peer, and has one entry here until it is
+// answered. The entry is at this host's own job owner, at a peer, or held while the key's owner is
+// not known or may not decide. A held call is tried again every few milliseconds; a call at a peer
+// is sent again when the owner changed, or when nothing came back for a while. The owner joins
+// copies of one call, so sending again costs a message and nothing else.
+//
+// This host never says "not run" on its own word: a call that cannot be brought to its owner in
+// time is answered "unknown".
+
+#include "core/counters.hpp"
+#include "core/job_owner.hpp"
+#include "core/ownership.hpp"
+#include <map>
+
+namespace egretledge
+{
+
+struct router_settings
+{
+    host_ref self;
+    std::string data_centre;
+    milliseconds hold_retry{20};
+    milliseconds resend_first{1000};
+    // How long a call waits for a history to be collected before it is answered "unknown".
+    milliseconds history_wait{1500};
+    // Added to a call's deadline, so that the owner's own answer comes first.
+    milliseconds grace{300};
+};
+
+class router
+{
+public:
+    router(router_settings settings, ownership& owners, job_owner& jobs, node_counters& counters);
+
+    void set_hosts(const std::vector<listed_host>& hosts);
+
+    // A call from a caller of this host; the answer comes as reply_call with the same number.
+    void on_local(instant now, std::uint64_t number, wire::Call call, const job_key& key,
+                  action_list& out);
+    // The caller went away: nothing is sent back, the job goes on.
+    void on_local_gone(std::uint64_t number);
+    void on_peer_call(instant now, const host_ref& from, wire::Call call, action_list& out);
+    void on_peer_reply(instant now, const host_ref& from, wire::CallReply reply, action_list& out);
+    void on_tick(instant now, action_list& out);
+    // Passes on what the job owner has answered or given back.
+    void collect(instant now, action_list& out);
+
+    std::size_t open_calls() const { return m_entries.size(); }
+
+private:
+    enum class place : std::uint8_t
+    {
+        held,
+        at_self,
+        at_peer
+    };
+    struct entry
+    {
+        std::string origin; // empty: a caller of this host
+        std::uint64_t origin_call = 0;
+        bool gone = false;
+        wire::Call call;
+        job_key key;
+        job_id id;
+        bool home = false;
+        std::uint32_t shard = 0;
+        place where = place::held;
+        host_ref peer;
+        microseconds deadline{0};
+        microseconds held_since{0};
+        microseconds next{0};
+        microseconds backoff{0};
+        bool waits_for_history = false;
+    };
+
+    std::uint64_t add(instant now, entry fresh, const job_key& key);
+    void route(instant now, std::uint64_t number, action_list& out);
+    void route_home(instant now, std::uint64_t number, entry& call, action_list& out);
+    void hand_to_owner(instant now, std::uint64_t number, entry& call, action_list& out);
+    void hold(instant now, entry& call);
+    void send(instant now, std::uint64_t number, entry& call, const host_ref& peer,
+              action_list& out);
+    void answer(std::uint64_t number, wire::Answer text, action_list& out);
+    void give_up(std::uint64_t number, entry& call, action_list& out);
+    host_ref foreign_host(const std::string& data_centre);
+
+    router_settings m_settings;
+    ownership& m_owners;
+    job_owner& m_jobs;
+    node_counters& m_counters;
+    std::vector<listed_host> m_hosts;
+    std::map<std::uint64_t, entry> m_entries;
+    std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> m_by_origin;
+    boost::unordered_flat_map<std::uint64_t, std::uint64_t> m_local;
+    std::uint64_t m_next;
+    std::size_t m_rotation = 0;
+};
+
+} // namespace egretledge
+
+#endif
--- /dev/null
+++ b/src/core/run_times.hpp
@@ -0,0 +1,48 @@
+#ifndef EGRETLEDGE_CORE_RUN_TIMES_HPP
+#define EGRETLEDGE_CORE_RUN_TIMES_HPP
+
+// Learns how long tasks of each service really run. Declared sizes are often far off, but by about
+// the same factor within one service: what is learned is the ratio of actual to declared time, as
+// a moving average, so memory is one number a service.
+
+#include "egretledge/types.hpp"
+#include <algorithm>
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <string>
+
+namespace egretledge
+{
+
+class run_times
+{
+public:
+    // One task of `service` that was declared as `declared` ran for `actual`.
+    void learn(const std::string& service, milliseconds declared, microseconds actual)
+    {
+        const double expected_us = static_cast<double>(microseconds{declared}.count()) + 1;
+        const double seen =
+            std::clamp(static_cast<double>(actual.count()) / expected_us, least_ratio, most_ratio);
+        auto [entry, fresh] = m_ratios.try_emplace(service, seen);
+        if (!fresh)
+            entry->second += learning_rate * (seen - entry->second);
+    }
+
+    // The expected time of a task that is declared as `declared`.
+    milliseconds expect(const std::string& service, milliseconds declared) const
+    {
+        const auto entry = m_ratios.find(service);
+        const double ratio = entry == m_ratios.end() ? 1.0 : entry->second;
+        return milliseconds{
+            static_cast<std::int64_t>(static_cast<double>(declared.count()) * ratio)};
+    }
+
+private:
+    static constexpr double learning_rate = 0.05;
+    static constexpr double least_ratio = 0.01;
+    static constexpr double most_ratio = 100;
+    boost::unordered_flat_map<std::string, double> m_ratios;
+};
+
+} // namespace egretledge
+
+#endif
--- /dev/null
+++ b/src/core/service_verdicts.hpp
@@ -0,0 +1,51 @@
+#ifndef EGRETLEDGE_CORE_SERVICE_VERDICTS_HPP
+#define EGRETLEDGE_CORE_SERVICE_VERDICTS_HPP
+
+// Tells a bad worker from a bad job: per service, the latest verdict of each worker that ran it.
+// One byte a worker and service that met.
+
+#include <algorithm>
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace egretledge
+{
+
+class service_verdicts
+{
+public:
+    void note(const std::string& service, std::uint32_t worker, bool success)
+    {
+        auto& row = m_rows[service];
+        if (row.size() <= worker)
+            row.resize(worker + 1, verdict::none);
+        row[worker] = success ? verdict::ran : verdict::failed;
+    }
+
+    // True if at least two workers, and half of those known, failed the service when they last ran
+    // it.
+    bool fails_everywhere(const std::string& service) const
+    {
+        const auto row = m_rows.find(service);
+        if (row == m_rows.end())
+            return false;
+        const auto failed = std::count(row->second.begin(), row->second.end(), verdict::failed);
+        const auto ran = std::count(row->second.begin(), row->second.end(), verdict::ran);
+        return failed >= 2 && failed >= ran;
+    }
+
+private:
+    enum class verdict : std::uint8_t
+    {
+        none,
+        ran,
+        failed
+    };
+    boost::unordered_flat_map<std::string, std::vector<verdict>> m_rows;
+};
+
+} // namespace egretledge
+
+#endif
--- /dev/null
+++ b/src/standin/worker_model.cpp
@@ -0,0 +1,339 @@
+// A worker in memory. Tasks wait in one queue in the order of their acceptance and run in slots; a
+// task's run time is its declared size times the worker's slowness. The checks of a start are the
+// ones that worker_protocol.hpp promises, no more: a lease, the holder's highest sequence, the
+// shard's highest epoch, and start_by. They are made when a start comes in and again when a queued
+// task gets its slot, since a fence may have come in between.
+
+#include "standin/worker_model.hpp"
+#include <algorithm>
+
+namespace egretledge::standin
+{
+
+namespace
+{
+
+constexpr std::size_t most_queued = 10000;
+constexpr microseconds forget_every = milliseconds{10000};
+
+} // namespace
+
+worker_model::worker_model(worker_settings settings, instant now)
+    : m_settings(std::move(settings)), m_since(now.wall)
+{
+}
+
+std::int64_t worker_model::clock(instant now) const
+{
+    return (now.steady + m_settings.clock_offset).count();
+}
+
+std::uint32_t worker_model::load() const
+{
+    return static_cast<std::uint32_t>(m_running.size() + m_queue.size());
+}
+
+void worker_model::ask(instant now, std::uint64_t request, const worker_question& question,
+                       std::vector<worker_reply>& replies)
+{
+    advance(now, replies);
+    forget_old(now);
+    if (const auto* poll = std::get_if<result_ask>(&question))
+    {
+        // A newer poll of the same holder replaces the older one.
+        const waiting_poll waiting{request, *poll, now.steady + milliseconds{poll->wait_ms}};
+        if (!answer_poll(now, waiting, replies))
+            m_polls.push_back(waiting);
+        return;
+    }
+    if (const auto* text = std::get_if<lease_ask>(&question))
+        replies.push_back({request, answer(now, *text)});
+    else if (const auto* batch = std::get_if<start_batch>(&question))
+        replies.push_back({request, answer(now, *batch)});
+    else if (const auto* history = std::get_if<history_ask>(&question))
+        replies.push_back({request, answer(now, *history)});
+    else if (const auto* stop = std::get_if<stop_ask>(&question))
+        replies.push_back({request, answer(now, *stop)});
+    advance(now, replies);
+}
+
+worker_answer worker_model::answer(instant now, const lease_ask& text)
+{
+    const auto found = m_leases.find(text.lease);
+    const bool live = found != m_leases.end() && found->second.holder == text.holder &&
+                      now.steady < found->second.lapses;
+    lease_grant grant;
+    grant.worker_incarnation = m_settings.incarnation;
+    grant.now_us = clock(now);
+    grant.queued = load();
+    grant.slots = std::min(text.slots, m_settings.slots);
+    auto lapses = now.steady + microseconds{m_settings.lease};
+    if (live)
+    {
+        // A renewal that was on its way for long extends the lease only from when it was sent.
+        const microseconds asked{text.asked_at_us - m_settings.clock_offset.count()};
+        lapses = std::max(found->second.lapses,
+                          std::min(lapses, asked + microseconds{m_settings.lease}));
+        grant.lease = text.lease;
+        found->second.lapses = lapses;
+    }
+    else
+    {
+        grant.lease = m_next_lease++;
+        m_leases[grant.lease] = {text.holder, lapses};
+    }
+    grant.lapses_at_us = (lapses + m_settings.clock_offset).count();
+    return grant;
+}
+
+bool worker_model::fenced(const start_order& order) const
+{
+    const auto fence = m_fences.find(order.shard);
+    return fence != m_fences.end() && order.owner_epoch < fence->second;
+}
+
+start_verdict worker_model::judge(instant now, const start_batch& batch, const start_order& order)
+{
+    if (m_settings.ignore_fences)
+        return start_verdict::accepted;
+    const auto lease = m_leases.find(batch.lease);
+    if (lease == m_leases.end() || now.steady >= lease->second.lapses ||
+        lease->second.holder != batch.holder ||
+        batch.worker_incarnation != m_settings.incarnation)
+        return start_verdict::lease_lapsed;
+    auto& holder = m_holders[lease->second.holder];
+    if (order.sequence <= holder.highest)
+        return start_verdict::repeated;
+    holder.highest = order.sequence;
+    if (fenced(order))
+        return start_verdict::stale_epoch;
+    if (clock(now) > order.start_by_us)
+        return start_verdict::too_late;
+    if (m_closed.contains(order.job))
+        return start_verdict::job_closed;
+    if (m_queue.size() >= most_queued)
+        return start_verdict::over_limit;
+    auto& fence = m_fences[order.shard];
+    fence = std::max(fence, order.owner_epoch);
+    return start_verdict::accepted;
+}
+
+worker_answer worker_model::answer(instant now, const start_batch& batch)
+{
+    start_reply reply;
+    reply.worker_incarnation = m_settings.incarnation;
+    reply.now_us = clock(now);
+    const auto lease = m_leases.find(batch.lease);
+    for (const auto& order : batch.orders)
+    {
+        const auto verdict = judge(now, batch, order);
+        reply.verdicts.push_back(verdict);
+        m_refused += verdict == start_verdict::accepted ? 0 : 1;
+        if (verdict != start_verdict::accepted)
+            continue;
+        const auto holder = lease == m_leases.end() ? host_ref{} : lease->second.holder;
+        m_queue.push_back({order, holder, batch.lease});
+    }
+    fill_slots(now);
+    reply.queued = load();
+    return reply;
+}
+
+void worker_model::fill_slots(instant now)
+{
+    while (m_running.size() < m_settings.slots && !m_queue.empty())
+    {
+        auto next = std::move(m_queue.front());
+        m_queue.pop_front();
+        const auto& order = next.order;
+        const bool late = clock(now) > order.start_by_us;
+        if (!m_settings.ignore_fences && (late || fenced(order) || m_closed.contains(order.job)))
+        {
+            report(next, task_end::not_started, microseconds{0}, {});
+            continue;
+        }
+        const auto declared = static_cast<double>(microseconds{milliseconds{order.size_ms}}.count());
+        const auto length =
+            microseconds{static_cast<std::int64_t>(declared * m_settings.slowness)};
+        history_record record{order.shard,      order.sequence,   order.job,
+                              order.digest,     order.task,       order.task_count,
+                              order.made_ms,    order.deadline_ms, record_state::running,
+                              {}};
+        m_records[{order.job, order.task}] = {next.holder, std::move(record)};
+        m_started.push_back({order.job, order.task, now.steady, microseconds{-1}});
+        m_running.push_back(
+            {std::move(next), now.steady, now.steady + length, m_started.size() - 1, false});
+    }
+}
+
+void worker_model::report(const pending_task& what, task_end end, microseconds ran,
+                          std::string output)
+{
+    auto& holder = m_holders[what.holder];
+    holder.lines.push_back({holder.next_index++, what.lease, what.order.sequence, what.order.job,
+                            what.order.task, end, ran.count(), std::move(output)});
+}
+
+void worker_model::end_task(instant now, running_task& task)
+{
+    const auto& order = task.what.order;
+    const bool failed = m_settings.fail_all || order.payload.starts_with("fail");
+    const auto end = task.stopped ? task_end::stopped
+                     : failed     ? task_end::failed
+                                  : task_end::done;
+    const auto output = end == task_end::done ? "done:" + order.payload : std::string("failed");
+    m_started[task.trace].ended = now.steady;
+    const auto record = m_records.find({order.job, order.task});
+    if (record != m_records.end())
+    {
+        record->second.second.state = end == task_end::done     ? record_state::done
+                                      : end == task_end::failed ? record_state::failed
+                                                                : record_state::stopped;
+        record->second.second.output = output;
+    }
+    report(task.what, end, now.steady - task.begun, output);
+}
+
+void worker_model::advance(instant now, std::vector<worker_reply>& replies)
+{
+    bool ended = true;
+    while (ended)
+    {
+        ended = false;
+        for (auto& task : m_running)
+        {
+            if (task.ends > now.steady)
+                continue;
+            end_task(now, task);
+            task.ends = microseconds::max();
+            ended = true;
+        }
+        std::erase_if(m_running,
+                      [](const running_task& t) { return t.ends == microseconds::max(); });
+        fill_slots(now);
+    }
+    std::erase_if(m_polls, [&](const waiting_poll& poll) { return answer_poll(now, poll, replies); });
+}
+
+bool worker_model::answer_poll(instant now, const waiting_poll& poll,
+                               std::vector<worker_reply>& replies)
+{
+    auto& holder = m_holders[poll.text.holder];
+    const bool same = poll.text.worker_incarnation == m_settings.incarnation;
+    while (same && !holder.lines.empty() && holder.lines.front().index <= poll.text.after)
+        holder.lines.pop_front();
+    if (holder.lines.empty() && now.steady < poll.until)
+        return false;
+    result_reply reply;
+    reply.worker_incarnation = m_settings.incarnation;
+    reply.now_us = clock(now);
+    reply.queued = load();
+    reply.lines.assign(holder.lines.begin(), holder.lines.end());
+    replies.push_back({poll.request, std::move(reply)});
+    return true;
+}
+
+worker_answer worker_model::answer(instant now, const history_ask& text)
+{
+    const auto asks_for = [&](std::uint32_t shard)
+    {
+        return std::any_of(text.shards.begin(), text.shards.end(),
+                           [&](const shard_fence& f) { return f.shard == shard; });
+    };
+    for (const auto& fence : text.shards)
+    {
+        auto& known = m_fences[fence.shard];
+        known = std::max(known, fence.owner_epoch);
+    }
+    if (!text.holder.empty())
+    {
+        auto& holder = m_holders[text.holder];
+        holder.highest = std::max(holder.highest, text.up_to);
+    }
+    // A fenced task that still waits for a slot never starts.
+    std::erase_if(m_queue,
+                  [&](const pending_task& task)
+                  {
+                      const bool in_doubt = task.holder == text.holder &&
+                                            task.order.sequence >= text.from &&
+                                            task.order.sequence <= text.up_to;
+                      if (!fenced(task.order) && !in_doubt)
+                          return false;
+                      report(task, task_end::not_started, microseconds{0}, {});
+                      return true;
+                  });
+    history_reply reply;
+    reply.worker_incarnation = m_settings.incarnation;
+    reply.now_us = clock(now);
+    reply.history_since_ms = m_since.count();
+    for (const auto& [key, entry] : m_records)
+    {
+        const auto& [holder, record] = entry;
+        const bool in_doubt = !text.holder.empty() && holder == text.holder &&
+                              record.sequence >= text.from && record.sequence <= text.up_to;
+        if (in_doubt || asks_for(record.shard))
+            reply.records.push_back(record);
+    }
+    for (const auto& [job, record] : m_closed_records)
+        if (asks_for(record.shard))
+            reply.records.push_back(record);
+    return reply;
+}
+
+worker_answer worker_model::answer(instant now, const stop_ask& text)
+{
+    stop_reply reply;
+    reply.worker_incarnation = m_settings.incarnation;
+    for (const auto& close : text.jobs)
+    {
+        auto& fence = m_fences[close.shard];
+        if (close.owner_epoch < fence)
+        {
+            reply.verdicts.push_back(stop_verdict::stale_epoch);
+            continue;
+        }
+        fence = close.owner_epoch;
+        reply.verdicts.push_back(stop_verdict::recorded);
+        m_closed.insert(close.job);
+        for (auto& task : m_running)
+            if (task.what.order.job == close.job && !task.stopped)
+            {
+                task.stopped = true;
+                task.ends = now.steady;
+            }
+        m_closed_records[close.job] = {close.shard,      0,
+                                       close.job,        close.digest,
+                                       0,                close.task_count,
+                                       close.made_ms,    close.deadline_ms,
+                                       record_state::closed, close.reason};
+    }
+    reply.now_us = clock(now);
+    return reply;
+}
+
+void worker_model::forget_old(instant now)
+{
+    if (now.steady < m_next_forget)
+        return;
+    m_next_forget = now.steady + forget_every;
+    const auto oldest = (now.wall - m_settings.record_window).count();
+    std::erase_if(m_records, [&](const auto& entry)
+                  { return entry.second.second.made_ms < oldest &&
+                           entry.second.second.state != record_state::running; });
+    std::erase_if(m_closed_records,
+                  [&](const auto& entry) { return entry.second.made_ms < oldest; });
+    std::erase_if(m_leases, [&](const auto& entry)
+                  { return entry.second.lapses + 2 * microseconds{m_settings.lease} < now.steady; });
+}
+
+microseconds worker_model::next_event() const
+{
+    auto next = microseconds::max();
+    for (const auto& task : m_running)
+        next = std::min(next, task.ends);
+    for (const auto& poll : m_polls)
+        next = std::min(next, poll.until);
+    return next;
+}
+
+} // namespace egretledge::standin
--- /dev/null
+++ b/tests/core_test.cpp
@@ -0,0 +1,453 @@
+#define BOOST_TEST_MODULE core
+#include "core/config_follower.hpp"
+#include "core/job_memory.hpp"
+#include "core/ownership.hpp"
+#include "core/task_queue.hpp"
+#include "core/wire.hpp"
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+
+using namespace egretledge;
+
+namespace
+{
+
+instant at(std::int64_t ms) { return {milliseconds{ms}, milliseconds{1'800'000'000'000 + ms}}; }
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(every_answer_kind_has_a_row_with_a_status_and_a_remedy)
+{
+    std::map<outcome, std::set<unsigned>> statuses;
+    boost::mp11::mp_for_each<boost::describe::describe_enumerators<answer_kind>>(
+        [&](auto d)
+        {
+            const auto& row = row_of(d.value);
+            BOOST_TEST((row.kind == d.value));
+            BOOST_TEST(!row.remedy.empty());
+            if (d.value != answer_kind::still_running)
+                statuses[row.result].insert(row.http_status);
+        });
+    // Each final outcome, and unknown, has one HTTP status of its own.
+    for (const auto result :
+         {outcome::complete, outcome::failed, outcome::not_run, outcome::unknown})
+        BOOST_TEST(statuses[result].size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(keys_are_parsed_or_refused_with_the_part_at_fault)
+{
+    const auto key = parse_job_key("jaro-depot.1796351160123.7f3a9c");
+    BOOST_REQUIRE(key);
+    BOOST_TEST(key->data_centre == "jaro-depot");
+    BOOST_TEST(key->made.count() == 1796351160123);
+    const char* bad[] = {"", "a", "a.1", "a.x.n", "a.-1.n", "a.1.", ".1.n", "a.1.n!", "a b.1.n",
+                         "a.1.n.m", "a.1234567890123456.n", "a..n"};
+    for (const auto* text : bad)
+        BOOST_TEST(!parse_job_key(text), text);
+    BOOST_TEST(!parse_job_key(std::string(200, 'a') + ".1.n"));
+}
+
+BOOST_AUTO_TEST_CASE(the_same_key_of_two_teams_is_two_jobs)
+{
+    BOOST_TEST((make_job_id("a", "k") != make_job_id("b", "k")));
+    BOOST_TEST((make_job_id("a", "bk") != make_job_id("ab", "k")));
+    BOOST_TEST((make_job_id("a", "k") == make_job_id("a", "k")));
+}
+
+// Against a plain map: random puts, finds and expiry.
+BOOST_AUTO_TEST_CASE(job_memory_agrees_with_a_map)
+{
+    std::mt19937_64 random(1);
+    job_memory memory(milliseconds{600000}, 1ULL << 30);
+    std::map<job_id, std::pair<milliseconds, std::string>> reference;
+    const milliseconds window{600000};
+    for (std::int64_t now = 0; now < 3'000'000; now += 500)
+    {
+        const milliseconds made{now - static_cast<std::int64_t>(random() % 100000)};
+        const job_id id{random() % 4, random() % 5000};
+        const auto known = reference.find(id);
+        const auto key_time = known == reference.end() ? made : known->second.first;
+        if (key_time.count() >= 0 && key_time.count() + window.count() >= now)
+        {
+            remembered_job job{id, 1, key_time, {}};
+            job.answer.set_detail(std::to_string(now));
+            memory.put(job);
+            reference.emplace(id, std::make_pair(key_time, job.answer.detail()));
+        }
+        memory.expire(milliseconds{now});
+        const job_id other{random() % 4, random() % 5000};
+        const auto wanted = reference.find(other);
+        if (wanted != reference.end() && wanted->second.first.count() + window.count() >= now)
+        {
+            const auto found = memory.find(other, wanted->second.first);
+            BOOST_REQUIRE(found);
+            BOOST_TEST(found->answer.detail() == wanted->second.second);
+        }
+        std::erase_if(reference, [&](const auto& e)
+                      { return e.second.first.count() + window.count() + 40000 < now; });
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_remembered_job_costs_at_most_64_bytes_beyond_its_answer)
+{
+    job_memory memory(milliseconds{600000}, 1ULL << 30);
+    std::mt19937_64 random(2);
+    constexpr std::size_t jobs = 400'000;
+    for (std::size_t i = 0; i < jobs; ++i)
+    {
+        const milliseconds made{static_cast<std::int64_t>(i)};
+        memory.put({{random(), random()}, 1, made, {}});
+        if (i % 1000 == 0)
+            memory.expire(made);
+    }
+    memory.expire(milliseconds{jobs});
+    const auto each = static_cast<double>(memory.state_bytes()) / jobs;
+    BOOST_TEST_MESSAGE("state per remembered job: " << each << " B");
+    BOOST_TEST(each <= 64.0);
+}
+
+BOOST_AUTO_TEST_CASE(answers_beyond_the_limit_go_oldest_first_and_the_outcome_stays)
+{
+    job_memory memory(milliseconds{600000}, 1000);
+    for (int i = 0; i < 10; ++i)
+    {
+        remembered_job job{{1, static_cast<std::uint64_t>(i)}, 1, milliseconds{i * 30000}, {}};
+        job.answer.set_detail(std::string(200, 'x'));
+        memory.put(job);
+    }
+    BOOST_TEST(memory.answer_bytes() <= 1000U);
+    const auto oldest = memory.find({1, 0}, milliseconds{0});
+    BOOST_REQUIRE(oldest);
+    BOOST_TEST((kind_of(oldest->answer) == answer_kind::key_expired));
+    BOOST_TEST(memory.find({1, 9}, milliseconds{270000})->answer.detail().size() == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(weights_share_slots_and_idle_quota_is_lent)
+{
+    task_queue queue;
+    queue.set_team("heavy", 3, 10);
+    queue.set_team("light", 1, 10);
+    std::vector<open_job> jobs(2);
+    jobs[0].team = "heavy";
+    jobs[1].team = "light";
+    for (std::size_t j = 0; j < 2; ++j)
+    {
+        jobs[j].id = {0, j};
+        jobs[j].tasks.resize(400);
+        for (std::uint32_t t = 0; t < 400; ++t)
+            queue.add(jobs[j], t, milliseconds{100}, 10);
+    }
+    std::map<std::string, int> started;
+    queued_task next;
+    for (int i = 0; i < 400; ++i)
+    {
+        BOOST_REQUIRE(queue.next(next));
+        queue.pop(next, milliseconds{100});
+        ++started[next.job->team];
+        queue.release(next.job->team);
+    }
+    BOOST_TEST(started["heavy"] >= 295);
+    BOOST_TEST(started["heavy"] <= 305);
+    // At its quota a team yields to one that is not, and takes everything when alone.
+    for (int i = 0; i < 10; ++i)
+    {
+        queue.next(next);
+        queue.pop(next, milliseconds{1});
+    }
+    queue.drop(jobs[1]);
+    int alone = 0;
+    while (queue.next(next) && alone < 50)
+    {
+        BOOST_TEST(next.job->team == "heavy");
+        queue.pop(next, milliseconds{1});
+        ++alone;
+    }
+    BOOST_TEST(alone == 50);
+}
+
+BOOST_AUTO_TEST_CASE(a_small_job_passes_a_wide_one_but_cannot_starve_it)
+{
+    task_queue queue;
+    queue.set_team("t", 1, 0);
+    open_job wide;
+    wide.team = "t";
+    wide.id = {0, 1};
+    wide.tasks.resize(700);
+    for (std::uint32_t i = 0; i < 700; ++i)
+        queue.add(wide, i, milliseconds{100}, 7);
+    open_job soon = wide;
+    soon.id = {0, 2};
+    soon.accepted = milliseconds{100};
+    soon.tasks.resize(1);
+    queue.add(soon, 0, milliseconds{100}, 7);
+    queued_task next;
+    BOOST_REQUIRE(queue.next(next));
+    BOOST_TEST(next.job == &soon);
+    queue.pop(next, milliseconds{100});
+    open_job late = soon;
+    late.id = {0, 3};
+    late.accepted = milliseconds{10001}; // the wide job's own length is 10 s
+    queue.add(late, 0, milliseconds{100}, 7);
+    BOOST_REQUIRE(queue.next(next));
+    BOOST_TEST(next.job == &wide);
+}
+
+namespace
+{
+
+// Two or three hosts of one data centre over an in-order log, driven by hand.
+struct table
+{
+    explicit table(std::size_t hosts)
+    {
+        for (std::size_t i = 0; i < hosts; ++i)
+        {
+            ownership_settings settings;
+            settings.self = {"h" + std::to_string(i + 1), 1};
+            settings.data_centre = "dc";
+            settings.shards = 1;
+            nodes.push_back(std::make_unique<ownership>(settings, i));
+        }
+    }
+
+    // One tick of every host in `up`; messages and appends are carried out at once.
+    void step(instant now, const std::vector<std::size_t>& up, bool log_up = true)
+    {
+        std::vector<listed_host> listed;
+        for (std::size_t i = 0; i < nodes.size(); ++i)
+            listed.push_back({"h" + std::to_string(i + 1), "dc", "", false});
+        for (const auto i : up)
+        {
+            nodes[i]->on_host_list(now, listed);
+            read(i, now, log_up);
+            action_list out;
+            ownership_events events;
+            nodes[i]->on_tick(now, out, events);
+            note(i, events);
+            carry(i, now, out, up, log_up);
+        }
+        for (const auto i : up)
+            read(i, now, log_up);
+    }
+    void run(std::int64_t from, std::int64_t to, const std::vector<std::size_t>& up,
+             bool log_up = true)
+    {
+        for (auto ms = from; ms < to; ms += 10)
+            step(at(ms), up, log_up);
+    }
+    void read(std::size_t i, instant now, bool log_up)
+    {
+        if (!log_up)
+            return nodes[i]->on_log_reachable(now, false);
+        log_page page{0, records.size(), {}};
+        for (auto o = nodes[i]->next_offset(); o < records.size(); ++o)
+            page.entries.push_back({o, records[o]});
+        ownership_events events;
+        nodes[i]->on_log_page(now, page, events);
+        note(i, events);
+    }
+    void carry(std::size_t from, instant now, action_list& out, const std::vector<std::size_t>& up,
+               bool log_up)
+    {
+        const host_ref sender{"h" + std::to_string(from + 1), 1};
+        for (auto& action : out)
+        {
+            if (const auto* append = std::get_if<actions::append_log>(&action); append && log_up)
+                records.push_back(append->data);
+            const auto* message = std::get_if<actions::send_peer>(&action);
+            if (message == nullptr)
+                continue;
+            for (const auto i : up)
+            {
+                if (message->host != "h" + std::to_string(i + 1))
+                    continue;
+                action_list replies;
+                ownership_events events;
+                if (message->message.has_heartbeat())
+                    nodes[i]->on_heartbeat(now, sender, message->message.heartbeat(), replies,
+                                           events);
+                else
+                    nodes[i]->on_heartbeat_ack(now, sender, message->message.heartbeat_ack());
+                note(i, events);
+                carry(i, now, replies, up, log_up);
+            }
+        }
+    }
+    void note(std::size_t i, const ownership_events& events)
+    {
+        for (const auto& g : events.gained)
+            gains.emplace_back(i, g);
+    }
+    std::vector<std::size_t> serving(std::int64_t ms) const
+    {
+        std::vector<std::size_t> found;
+        for (std::size_t i = 0; i < nodes.size(); ++i)
+            if (nodes[i]->may_serve(0, at(ms)))
+                found.push_back(i);
+        return found;
+    }
+
+    std::vector<std::unique_ptr<ownership>> nodes;
+    std::vector<std::string> records;
+    std::vector<std::pair<std::size_t, gained_shard>> gains;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(one_host_claims_a_fresh_shard_and_its_grantor_takes_over_after_a_lease)
+{
+    table t(2);
+    t.run(0, 3000, {0, 1});
+    const auto owners = t.serving(3000);
+    BOOST_REQUIRE_EQUAL(owners.size(), 1U);
+    const auto owner = owners[0];
+    const auto other = 1 - owner;
+    BOOST_TEST((t.gains.at(0).second.reason == gain_reason::first));
+    // The owner falls silent. Until its lease is over nobody else serves.
+    for (std::int64_t ms = 3000; ms < 7000; ms += 10)
+    {
+        t.step(at(ms), {other});
+        BOOST_TEST(t.serving(ms).size() <= 1U);
+    }
+    BOOST_TEST((t.serving(7000) == std::vector<std::size_t>{other}));
+    BOOST_TEST((t.gains.back().second.reason == gain_reason::takeover));
+    BOOST_TEST(t.gains.back().second.refusals_known);
+}
+
+BOOST_AUTO_TEST_CASE(without_the_log_the_grantor_takes_over_on_its_own_word)
+{
+    table t(2);
+    t.run(0, 3000, {0, 1});
+    const auto owner = t.serving(3000).at(0);
+    const auto other = 1 - owner;
+    t.run(3000, 8000, {0, 1}, false);
+    BOOST_TEST((t.serving(8000) == std::vector<std::size_t>{owner}));
+    t.run(8000, 12000, {other}, false);
+    BOOST_TEST((t.serving(12000) == std::vector<std::size_t>{other}));
+    BOOST_TEST(t.nodes[other]->epoch_of(0).direct == 1U);
+    // The former owner comes back with the log: it does not serve, and learns the new owner.
+    t.run(12000, 16000, {0, 1});
+    BOOST_TEST((t.serving(16000) == std::vector<std::size_t>{other}));
+}
+
+BOOST_AUTO_TEST_CASE(an_owner_whose_grantor_died_names_a_new_one_without_a_gap)
+{
+    table t(3);
+    t.run(0, 3000, {0, 1, 2});
+    const auto owner = t.serving(3000).at(0);
+    const auto grantor = (owner + 1) % 3;
+    std::vector<std::size_t> up;
+    for (std::size_t i = 0; i < 3; ++i)
+        if (i != grantor)
+            up.push_back(i);
+    for (std::int64_t ms = 3000; ms < 9000; ms += 10)
+    {
+        t.step(at(ms), up);
+        BOOST_TEST((t.serving(ms) == std::vector<std::size_t>{owner}));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_is_allowed_only_once_the_grantor_knows)
+{
+    table t(2);
+    t.run(0, 3000, {0, 1});
+    auto& owner = *t.nodes[t.serving(3000).at(0)];
+    BOOST_TEST(owner.refusal_bound(0).count() == 0);
+    owner.announce_refusals(at(3000), 0, milliseconds{500});
+    BOOST_TEST(owner.refusal_bound(0).count() == 0);
+    t.run(3000, 3100, {0, 1});
+    BOOST_TEST(owner.refusal_bound(0).count() == 500);
+}
+
+namespace
+{
+
+std::string publication(const std::string& id, std::uint64_t base, const std::string& yaml)
+{
+    wire::LogRecord record;
+    auto& text = *record.mutable_publication();
+    text.set_id(id);
+    text.set_base_revision(base);
+    const auto objects = parse_objects(yaml, id);
+    for (const auto& object : *objects)
+    {
+        auto& line = *text.add_changed();
+        line.set_kind(object.kind);
+        line.set_name(object.name);
+        line.set_body(object.body);
+    }
+    return record.SerializeAsString();
+}
+
+log_page page_of(const std::vector<std::string>& records, std::uint64_t first)
+{
+    log_page page{first, records.size(), {}};
+    for (auto o = first; o < records.size(); ++o)
+        page.entries.push_back({o, records[o]});
+    return page;
+}
+
+} // namespace
+
+// Readers that start from the whole log, from a snapshot after records aged out, or from a peer's
+// state, come to the same set and revision.
+BOOST_AUTO_TEST_CASE(every_reader_reaches_the_same_verdicts)
+{
+    std::mt19937_64 random(3);
+    for (int round = 0; round < 50; ++round)
+    {
+        std::vector<std::string> records;
+        config_follower writer;
+        std::size_t snapshot_at = 0;
+        for (int i = 0; i < 40; ++i)
+        {
+            if (i == 15)
+            {
+                // A publication lands between the reading of the state and its snapshot.
+                const auto snapshot = writer.snapshot().SerializeAsString();
+                records.push_back(publication("between", writer.revision(),
+                                              "{kind: region, name: between}"));
+                snapshot_at = records.size();
+                records.push_back(snapshot);
+            }
+            const auto base = writer.revision() - std::min<std::uint64_t>(writer.revision(),
+                                                                          random() % 4);
+            const auto name = "r" + std::to_string(random() % 5);
+            records.push_back(
+                random() % 3 == 0
+                    ? publication("p" + std::to_string(i), base,
+                                  "{kind: data_centre, name: d" + name + ", region: " + name + "}")
+                    : publication("p" + std::to_string(i), base,
+                                  "{kind: region, name: " + name + "}"));
+            writer.on_page(page_of(records, 0));
+        }
+        config_follower from_snapshot;
+        const auto first = snapshot_at - 1;
+        from_snapshot.on_page(page_of(records, first));
+        from_snapshot.on_page(page_of(records, first));
+        BOOST_TEST(from_snapshot.revision() == writer.revision());
+        BOOST_TEST(difference(from_snapshot.current()->objects, writer.current()->objects).empty());
+        config_follower from_peer;
+        from_peer.on_state(writer.state());
+        records.push_back(publication("last", writer.revision() - 1, "{kind: region, name: r1}"));
+        writer.on_page(page_of(records, 0));
+        from_peer.on_page(page_of(records, records.size() - 1));
+        BOOST_TEST(from_peer.revision() == writer.revision());
+        BOOST_TEST(!from_peer.on_state(from_snapshot.state()));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(the_loser_of_a_race_is_told_which_objects_clashed)
+{
+    config_follower reader;
+    reader.on_page(page_of({publication("a", 0, "{kind: region, name: x}"),
+                            publication("b", 0, "{kind: region, name: x}"),
+                            publication("c", 1, "{kind: data_centre, name: d, region: none}")},
+                           0));
+    BOOST_TEST(reader.revision() == 1U);
+    BOOST_TEST((reader.history()[1].verdict == publication_verdict::clashed));
+    BOOST_TEST(reader.history()[1].objects.at(0) == "region x");
+    BOOST_TEST((reader.history()[2].verdict == publication_verdict::not_valid));
+    BOOST_TEST(reader.history()[2].detail.find("no region is named") != std::string::npos);
+}
