--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,9 @@
 test: all
 	ctest --test-dir build --output-on-failure
 
+demo: all
+	sh scripts/demo.sh
+
 soak: all
 	build/egret-soak --first $(FIRST_SEED) --seeds $(SEEDS)
 
--- /dev/null
+++ b/apps/egret_standin.cpp
@@ -0,0 +1,100 @@
+// egret-standin stands in for the platform in the demo, in tests and in measurements.
+//
+//     egret-standin platform --port 19000
+//     egret-standin worker --first-port 20000 --count 4 --slots 8
+//
+// It runs until SIGTERM. Everything is kept in memory.
+
+#include "io/daemon.hpp"
+#include "io/standin_server.hpp"
+#include <boost/program_options.hpp>
+#include <iostream>
+
+namespace po = boost::program_options;
+using namespace egretledge;
+using namespace egretledge::standin;
+
+namespace
+{
+
+struct arguments
+{
+    std::string role;
+    std::string address = "127.0.0.1";
+    std::uint16_t port = 0;
+    std::uint16_t first_port = 20000;
+    std::uint16_t count = 1;
+    std::uint32_t slots = 8;
+    unsigned threads = 1;
+};
+
+int serve(const arguments& given)
+{
+    boost::asio::io_context context;
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](boost::system::error_code, int) { context.stop(); });
+    http_server_settings http;
+    http.address = given.address;
+    http.body_limit = 256ULL << 20;
+    std::unique_ptr<platform_server> platform;
+    std::vector<std::unique_ptr<worker_server>> workers;
+    if (given.role == "platform")
+    {
+        http.port = given.port;
+        platform = std::make_unique<platform_server>(context, http);
+        std::cout << "port=" << platform->port() << std::endl;
+    }
+    else
+        for (std::uint16_t i = 0; i < given.count; ++i)
+        {
+            http.port = static_cast<std::uint16_t>(given.first_port + i);
+            worker_settings settings;
+            settings.name = "port-" + std::to_string(http.port);
+            settings.slots = given.slots;
+            settings.incarnation = static_cast<std::uint64_t>(read_clocks().wall.count());
+            workers.push_back(std::make_unique<worker_server>(context, http, settings));
+        }
+    std::vector<std::thread> threads;
+    for (unsigned t = 1; t < given.threads; ++t)
+        threads.emplace_back([&] { context.run(); });
+    context.run();
+    for (auto& thread : threads)
+        thread.join();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    arguments given;
+    po::options_description options("egret-standin platform|worker [options]");
+    options.add_options()("help", "print this")("role", po::value(&given.role),
+                                                "platform or worker")(
+        "address", po::value(&given.address),
+        "IP to listen at")("port", po::value(&given.port), "port of the platform; 0: any free one")(
+        "first-port", po::value(&given.first_port),
+        "port of the first worker")("count", po::value(&given.count), "how many workers")(
+        "slots", po::value(&given.slots), "slots a worker")("threads", po::value(&given.threads),
+                                                            "threads");
+    po::positional_options_description positions;
+    positions.add("role", 1);
+    po::variables_map values;
+    try
+    {
+        po::store(po::command_line_parser(argc, argv).options(options).positional(positions).run(),
+                  values);
+        po::notify(values);
+        if (values.contains("help") || (given.role != "platform" && given.role != "worker"))
+        {
+            std::cout << options;
+            return values.contains("help") ? 0 : 2;
+        }
+        return serve(given);
+    }
+    catch (const std::exception& e)
+    {
+        std::cerr << e.what() << "; see --help\n";
+        return 2;
+    }
+}
--- a/harness/history.cpp
+++ b/harness/history.cpp
@@ -17,11 +17,14 @@
 bool is_final(const recorded_call& call)
 {
     const auto result = outcome_of(call.answer);
-    return call.answered && (result == outcome::complete || result == outcome::failed ||
-                             result == outcome::not_run);
+    return call.answered &&
+           (result == outcome::complete || result == outcome::failed || result == outcome::not_run);
 }
 
-std::string at_text(microseconds at) { return " at " + std::to_string(at.count()) + "us"; }
+std::string at_text(microseconds at)
+{
+    return " at " + std::to_string(at.count()) + "us";
+}
 
 } // namespace
 
@@ -86,9 +89,8 @@
 std::size_t history::starts_of(const std::string& team, const std::string& key) const
 {
     const auto id = make_job_id(team, key);
-    return static_cast<std::size_t>(
-        std::count_if(m_starts.begin(), m_starts.end(),
-                      [&](const recorded_start& s) { return s.job == id; }));
+    return static_cast<std::size_t>(std::count_if(
+        m_starts.begin(), m_starts.end(), [&](const recorded_start& s) { return s.job == id; }));
 }
 
 std::string history::check(microseconds now, const std::vector<std::string>& repeatable) const
@@ -144,8 +146,7 @@
     {
         if (!repeatable && starts.size() > 1)
             return "task " + std::to_string(task) + " started twice, at " + starts[0]->worker +
-                   at_text(starts[0]->at) + " and at " + starts[1]->worker +
-                   at_text(starts[1]->at);
+                   at_text(starts[0]->at) + " and at " + starts[1]->worker + at_text(starts[1]->at);
         auto sorted = starts;
         std::sort(sorted.begin(), sorted.end(),
                   [](const auto* a, const auto* b) { return a->at < b->at; });
--- a/harness/scenario.cpp
+++ b/harness/scenario.cpp
@@ -1,8 +1,8 @@
 // A scenario is a list of steps, each with a time and one verb. Steps run in the order of their
 // times against a world of real nodes in virtual time; at the end the whole history is checked as
 // well. A name may be said as "owner of KEY", "bystander of KEY" or "other bystander of KEY" (hosts
-// of the key's home that did not own it), all as of when the key was made; as "new owner of KEY", as
-// of now; or as "worker of KEY", the first one that started a task of it.
+// of the key's home that did not own it), all as of when the key was made; as "new owner of KEY",
+// as of now; or as "worker of KEY", the first one that started a task of it.
 
 #include "harness/scenario.hpp"
 #include "core/wire.hpp"
@@ -78,12 +78,12 @@
         settings.slots = file["slots"].as<std::uint32_t>(4);
         settings.extra_config = file["config"].as<std::string>("");
         if (file["host_list_lag"])
-            settings.list_lag = std::chrono::duration_cast<milliseconds>(
-                duration(file["host_list_lag"]));
+            settings.list_lag =
+                std::chrono::duration_cast<milliseconds>(duration(file["host_list_lag"]));
         settings.host_list_lag = settings.list_lag + milliseconds{2000};
         if (file["snapshot_every"])
-            settings.snapshot_every = std::chrono::duration_cast<milliseconds>(
-                duration(file["snapshot_every"]));
+            settings.snapshot_every =
+                std::chrono::duration_cast<milliseconds>(duration(file["snapshot_every"]));
         for (const auto& centre : file["centres"])
             settings.centres.push_back({centre["name"].as<std::string>(),
                                         centre["hosts"].as<std::vector<std::string>>(),
@@ -128,8 +128,8 @@
     {
         const auto key = key_of(name);
         const auto centre = key.substr(0, key.find('.'));
-        const auto shard = shard_of(make_job_id("team-a", key),
-                                    m_file["shards"].as<std::uint32_t>(4));
+        const auto shard =
+            shard_of(make_job_id("team-a", key), m_file["shards"].as<std::uint32_t>(4));
         const auto serving = m_world.serving(centre, shard);
         if (serving.empty())
             return;
@@ -149,8 +149,8 @@
     {
         const auto key = key_of(key_name);
         const auto centre = key.substr(0, key.find('.'));
-        const auto shard = shard_of(make_job_id("team-a", key),
-                                    m_file["shards"].as<std::uint32_t>(4));
+        const auto shard =
+            shard_of(make_job_id("team-a", key), m_file["shards"].as<std::uint32_t>(4));
         const auto serving = m_world.serving(centre, shard);
         if (serving.empty())
             throw std::runtime_error("nobody serves the key " + key_name);
@@ -170,7 +170,7 @@
 
     std::string name_in(const YAML::Node& node)
     {
-        const auto text = node.as<std::string>();
+        auto text = node.as<std::string>();
         const auto of = text.find(" of ");
         if (of == std::string::npos)
             return text;
@@ -225,8 +225,8 @@
         for (int i = 0; i < count; ++i)
             for (const auto& host : hosts_in(node["host"]))
             {
-                const auto number = m_world.submit(host, key, job_in(node),
-                                                   node["team"].as<std::string>("team-a"));
+                const auto number =
+                    m_world.submit(host, key, job_in(node), node["team"].as<std::string>("team-a"));
                 m_calls[node["call"].as<std::string>(node["key"].as<std::string>())].push_back(
                     number);
             }
@@ -234,8 +234,8 @@
 
     void ask(const YAML::Node& node, wire::CallKind kind)
     {
-        const auto number = m_world.ask(name_in(node["host"]),
-                                        key_of(node["key"].as<std::string>()), kind);
+        const auto number =
+            m_world.ask(name_in(node["host"]), key_of(node["key"].as<std::string>()), kind);
         m_calls[node["call"].as<std::string>()].push_back(number);
     }
     void query(const YAML::Node& node) { ask(node, wire::QUERY); }
@@ -247,12 +247,30 @@
         key_of(node["key"].as<std::string>(), node["home"].as<std::string>(""));
     }
 
-    void kill(const YAML::Node& node) { each(node, [&](const auto& n) { m_world.kill(n); }); }
-    void start(const YAML::Node& node) { each(node, [&](const auto& n) { m_world.start(n); }); }
-    void pause(const YAML::Node& node) { each(node, [&](const auto& n) { m_world.pause(n); }); }
-    void resume(const YAML::Node& node) { each(node, [&](const auto& n) { m_world.resume(n); }); }
-    void stop(const YAML::Node& node) { each(node, [&](const auto& n) { m_world.stop(n); }); }
-    void unlist(const YAML::Node& node) { each(node, [&](const auto& n) { m_world.unlist(n); }); }
+    void kill(const YAML::Node& node)
+    {
+        each(node, [&](const auto& n) { m_world.kill(n); });
+    }
+    void start(const YAML::Node& node)
+    {
+        each(node, [&](const auto& n) { m_world.start(n); });
+    }
+    void pause(const YAML::Node& node)
+    {
+        each(node, [&](const auto& n) { m_world.pause(n); });
+    }
+    void resume(const YAML::Node& node)
+    {
+        each(node, [&](const auto& n) { m_world.resume(n); });
+    }
+    void stop(const YAML::Node& node)
+    {
+        each(node, [&](const auto& n) { m_world.stop(n); });
+    }
+    void unlist(const YAML::Node& node)
+    {
+        each(node, [&](const auto& n) { m_world.unlist(n); });
+    }
     void kill_worker(const YAML::Node& node)
     {
         each(node, [&](const auto& n) { m_world.kill_worker(n); });
@@ -263,8 +281,7 @@
     }
     void worker_fails(const YAML::Node& node)
     {
-        each(node,
-             [&](const auto& n)
+        each(node, [&](const auto& n)
              { m_world.set_worker(n, [](standin::worker_settings& s) { s.fail_all = true; }); });
     }
     void leave_worker(const YAML::Node& node)
@@ -308,9 +325,8 @@
         for (const auto number : m_calls.at(node["call"].as<std::string>()))
         {
             const auto* call = m_world.calls().find(number);
-            const auto seen = call->answered
-                                  ? std::string(name_of(outcome_of(call->answer)))
-                                  : (call->host_died ? "cut_off" : "none");
+            const auto seen = call->answered ? std::string(name_of(outcome_of(call->answer)))
+                                             : (call->host_died ? "cut_off" : "none");
             const auto wanted = node["outcome"].as<std::string>();
             if (seen != wanted)
                 fail(node, "call " + node["call"].as<std::string>() + " at " + call->host +
@@ -347,16 +363,16 @@
         for (const auto& name : hosts_in(node["host"]))
             if (m_world.alive(name) &&
                 m_world.host(name)->revision() != node["is"].as<std::uint64_t>())
-                fail(node, name + " has revision " +
-                               std::to_string(m_world.host(name)->revision()));
+                fail(node,
+                     name + " has revision " + std::to_string(m_world.host(name)->revision()));
     }
 
     // How many hosts serve a key's shard at this moment.
     void expect_serving(const YAML::Node& node)
     {
         const auto key = key_of(node["key"].as<std::string>());
-        const auto shard = shard_of(make_job_id("team-a", key),
-                                    m_file["shards"].as<std::uint32_t>(4));
+        const auto shard =
+            shard_of(make_job_id("team-a", key), m_file["shards"].as<std::uint32_t>(4));
         const auto seen = m_world.serving(key.substr(0, key.find('.')), shard).size();
         if (seen != node["hosts"].as<std::size_t>())
             fail(node, std::to_string(seen) + " hosts serve it");
@@ -379,36 +395,34 @@
     std::vector<std::string> m_failures;
 };
 
-const std::array<scenario::verb, 27> scenario::verbs{{{"submit", &scenario::submit},
-                                                      {"query", &scenario::query},
-                                                      {"cancel", &scenario::cancel},
-                                                      {"make_key", &scenario::make_key},
-                                                      {"kill", &scenario::kill},
-                                                      {"start", &scenario::start},
-                                                      {"pause", &scenario::pause},
-                                                      {"resume", &scenario::resume},
-                                                      {"stop", &scenario::stop},
-                                                      {"unlist", &scenario::unlist},
-                                                      {"kill_worker", &scenario::kill_worker},
-                                                      {"start_worker", &scenario::start_worker},
-                                                      {"worker_fails", &scenario::worker_fails},
-                                                      {"leave_worker", &scenario::leave_worker},
-                                                      {"cut", &scenario::cut},
-                                                      {"heal", &scenario::heal},
-                                                      {"heal_all", &scenario::heal_all},
-                                                      {"log", &scenario::log},
-                                                      {"log_delay", &scenario::log_delay},
-                                                      {"age_out", &scenario::age_out},
-                                                      {"delay", &scenario::delay},
-                                                      {"publish", &scenario::publish},
-                                                      {"expect", &scenario::expect},
-                                                      {"expect_starts", &scenario::expect_starts},
-                                                      {"expect_revision",
-                                                       &scenario::expect_revision},
-                                                      {"expect_serving",
-                                                       &scenario::expect_serving},
-                                                      {"expect_worker",
-                                                       &scenario::expect_worker}}};
+const std::array<scenario::verb, 27> scenario::verbs{
+    {{"submit", &scenario::submit},
+     {"query", &scenario::query},
+     {"cancel", &scenario::cancel},
+     {"make_key", &scenario::make_key},
+     {"kill", &scenario::kill},
+     {"start", &scenario::start},
+     {"pause", &scenario::pause},
+     {"resume", &scenario::resume},
+     {"stop", &scenario::stop},
+     {"unlist", &scenario::unlist},
+     {"kill_worker", &scenario::kill_worker},
+     {"start_worker", &scenario::start_worker},
+     {"worker_fails", &scenario::worker_fails},
+     {"leave_worker", &scenario::leave_worker},
+     {"cut", &scenario::cut},
+     {"heal", &scenario::heal},
+     {"heal_all", &scenario::heal_all},
+     {"log", &scenario::log},
+     {"log_delay", &scenario::log_delay},
+     {"age_out", &scenario::age_out},
+     {"delay", &scenario::delay},
+     {"publish", &scenario::publish},
+     {"expect", &scenario::expect},
+     {"expect_starts", &scenario::expect_starts},
+     {"expect_revision", &scenario::expect_revision},
+     {"expect_serving", &scenario::expect_serving},
+     {"expect_worker", &scenario::expect_worker}}};
 
 } // namespace
 
--- a/harness/scenario_main.cpp
+++ b/harness/scenario_main.cpp
@@ -21,8 +21,8 @@
             continue;
         }
         const auto result = egretledge::harness::run_scenario(argv[i], trace);
-        std::cout << (result.failures.empty() ? "ok   " : "FAIL ") << argv[i] << ": "
-                  << result.name << '\n';
+        std::cout << (result.failures.empty() ? "ok   " : "FAIL ") << argv[i] << ": " << result.name
+                  << '\n';
         for (const auto& failure : result.failures)
             std::cout << "     " << failure << '\n';
         held = held && result.failures.empty();
--- a/harness/schedule.cpp
+++ b/harness/schedule.cpp
@@ -92,8 +92,8 @@
         {
             auto& task = *job.add_tasks();
             task.set_payload((failing && i == 0 ? "fail" : "p") + std::to_string(pick(0, 999999)));
-            task.set_size_ms(static_cast<std::uint32_t>(pick(0, 9) == 0 ? pick(500, 3000)
-                                                                        : pick(10, 300)));
+            task.set_size_ms(
+                static_cast<std::uint32_t>(pick(0, 9) == 0 ? pick(500, 3000) : pick(10, 300)));
         }
         return job;
     }
@@ -118,8 +118,8 @@
             const auto copies = pick(0, 3);
             for (std::uint64_t c = 0; c < copies; ++c)
             {
-                const auto again = first + milliseconds{pick(0, 1) == 0 ? pick(0, 5)
-                                                                        : pick(0, 7000)};
+                const auto again =
+                    first + milliseconds{pick(0, 1) == 0 ? pick(0, 5) : pick(0, 7000)};
                 const auto other = any(m_world.host_names());
                 const auto what = pick(0, 9);
                 m_world.at(again,
@@ -158,26 +158,31 @@
         const auto host = any(m_world.host_names());
         const auto worker = any(m_world.worker_names());
         const auto centre = any(m_centres);
-        const microseconds length = milliseconds{pick(0, 1) == 0 ? pick(20, 1500) : pick(100, 6000)};
+        const microseconds length =
+            milliseconds{pick(0, 1) == 0 ? pick(20, 1500) : pick(100, 6000)};
         const auto cut = [&](const std::string& a, const std::string& b)
         {
             if (a != b)
-                fault(at, "cut " + a + " " + b, [=, this] { m_world.cut(a, b); },
-                      [=, this] { m_world.heal(a, b); }, length);
+                fault(
+                    at, "cut " + a + " " + b, [=, this] { m_world.cut(a, b); },
+                    [=, this] { m_world.heal(a, b); }, length);
         };
         switch (pick(0, 13))
         {
         case 0:
         case 1:
-            return fault(at, "kill " + host, [=, this] { m_world.kill(host); },
-                         [=, this] { m_world.start(host); }, length);
+            return fault(
+                at, "kill " + host, [=, this] { m_world.kill(host); },
+                [=, this] { m_world.start(host); }, length);
         case 2:
         case 3:
-            return fault(at, "pause " + host, [=, this] { m_world.pause(host); },
-                         [=, this] { m_world.resume(host); }, length);
+            return fault(
+                at, "pause " + host, [=, this] { m_world.pause(host); },
+                [=, this] { m_world.resume(host); }, length);
         case 4:
-            return fault(at, "stop " + host, [=, this] { m_world.stop(host); },
-                         [=, this] { m_world.start(host); }, length);
+            return fault(
+                at, "stop " + host, [=, this] { m_world.stop(host); },
+                [=, this] { m_world.start(host); }, length);
         case 5:
             return cut(host, any(m_world.host_names()));
         case 6:
@@ -187,24 +192,26 @@
         case 8:
             return cut(host, "log");
         case 9:
-            return fault(at, "log down", [this] { m_world.set_log(log_state::down); },
-                         [this] { m_world.set_log(log_state::up); }, length);
+            return fault(
+                at, "log down", [this] { m_world.set_log(log_state::down); },
+                [this] { m_world.set_log(log_state::up); }, length);
         case 10:
-            return fault(at, "log loses answers",
-                         [this] { m_world.set_log(log_state::lose_answers); },
-                         [this] { m_world.set_log(log_state::up); }, length);
+            return fault(
+                at, "log loses answers", [this] { m_world.set_log(log_state::lose_answers); },
+                [this] { m_world.set_log(log_state::up); }, length);
         case 11:
-            return fault(at, "kill worker " + worker, [=, this] { m_world.kill_worker(worker); },
-                         [=, this] { m_world.start_worker(worker); }, length);
+            return fault(
+                at, "kill worker " + worker, [=, this] { m_world.kill_worker(worker); },
+                [=, this] { m_world.start_worker(worker); }, length);
         case 12:
-            return fault(at, "delay " + host + " to " + worker,
-                         [=, this] { m_world.set_extra_delay(host, worker, length); },
-                         [=, this] { m_world.set_extra_delay(host, worker, microseconds{0}); },
-                         length);
+            return fault(
+                at, "delay " + host + " to " + worker,
+                [=, this] { m_world.set_extra_delay(host, worker, length); },
+                [=, this] { m_world.set_extra_delay(host, worker, microseconds{0}); }, length);
         default:
-            return fault(at, "slow log",
-                         [this] { m_world.set_log_delay(milliseconds{500}); },
-                         [this] { m_world.set_log_delay(microseconds{0}); }, length);
+            return fault(
+                at, "slow log", [this] { m_world.set_log_delay(milliseconds{500}); },
+                [this] { m_world.set_log_delay(microseconds{0}); }, length);
         }
     }
 
@@ -248,8 +255,7 @@
         for (const auto number : probes)
         {
             const auto* call = m_world.calls().find(number);
-            const bool complete =
-                call->answered && outcome_of(call->answer) == outcome::complete;
+            const bool complete = call->answered && outcome_of(call->answer) == outcome::complete;
             if (!complete && !call->host_died && m_trace)
                 for (const auto& host : m_world.host_names())
                     std::cout << boost::json::value_from(
--- a/harness/soak_main.cpp
+++ b/harness/soak_main.cpp
@@ -55,9 +55,8 @@
     std::uint64_t seeds = 0;
     unsigned threads = std::max(1U, std::thread::hardware_concurrency());
     po::options_description options("egret-soak");
-    options.add_options()("help", "print this")(
-        "first", po::value(&first), "the first seed")("seeds", po::value(&seeds)->default_value(1000),
-                                                      "how many seeds")(
+    options.add_options()("help", "print this")("first", po::value(&first), "the first seed")(
+        "seeds", po::value(&seeds)->default_value(1000), "how many seeds")(
         "threads", po::value(&threads), "threads")("trace", "print the hosts' log lines")(
         "quiet", "print only the totals")("unsafe-workers", "workers that ignore every fence");
     po::variables_map given;
--- a/harness/world.cpp
+++ b/harness/world.cpp
@@ -71,8 +71,9 @@
     {
         text += "---\nkind: data_centre\nname: " + centre.name +
                 "\nregion: region-a\nshards: " + std::to_string(m_settings.shards) + "\n";
-        text += "---\nkind: executor_pool\nname: " + centre.name + "-pool\ndata_centre: " +
-                centre.name + "\naddress: 127.0.0.1\nfirst_port: 20000\nmemory: 32GiB\ncount: " +
+        text += "---\nkind: executor_pool\nname: " + centre.name +
+                "-pool\ndata_centre: " + centre.name +
+                "\naddress: 127.0.0.1\nfirst_port: 20000\nmemory: 32GiB\ncount: " +
                 std::to_string(centre.workers) + "\nslots: " + std::to_string(m_settings.slots) +
                 "\n";
         for (const auto& host : centre.hosts)
@@ -80,8 +81,8 @@
     }
     text += "---\nkind: service\nname: once\nrepeatable: false\nrun_time: 50ms\ndeadline: 8s\n"
             "---\nkind: service\nname: repeat\nrepeatable: true\nrun_time: 50ms\ndeadline: 8s\n";
-    const auto quota = std::to_string(
-        std::max(1U, m_settings.slots * m_settings.centres.front().workers / 2));
+    const auto quota =
+        std::to_string(std::max(1U, m_settings.slots * m_settings.centres.front().workers / 2));
     const std::string token(64, 'a');
     const std::string other(64, 'b');
     text += "---\nkind: team\nname: team-a\nquota: " + quota + "\ntoken_sha256: " + token + "\n";
@@ -132,8 +133,7 @@
 
 bool world::chance(double probability)
 {
-    return probability > 0 &&
-           std::uniform_real_distribution<double>(0, 1)(m_random) < probability;
+    return probability > 0 && std::uniform_real_distribution<double>(0, 1)(m_random) < probability;
 }
 
 instant world::true_time() const
@@ -149,7 +149,10 @@
     return {microseconds{steady} + zero, true_time().wall + host.wall_offset};
 }
 
-instant world::clock_of(const std::string& host) const { return clock(m_hosts.at(host)); }
+instant world::clock_of(const std::string& host) const
+{
+    return clock(m_hosts.at(host));
+}
 
 microseconds world::delay(const std::string& from, const std::string& to)
 {
@@ -181,9 +184,15 @@
     return true;
 }
 
-bool world::log_reachable(const std::string& host) const { return reachable(host, "log"); }
+bool world::log_reachable(const std::string& host) const
+{
+    return reachable(host, "log");
+}
 
-void world::cut(const std::string& a, const std::string& b) { m_cuts.insert({a, b}); }
+void world::cut(const std::string& a, const std::string& b)
+{
+    m_cuts.insert({a, b});
+}
 
 void world::heal(const std::string& a, const std::string& b)
 {
@@ -226,8 +235,8 @@
     if (!host.paused)
         enter(name, incarnation,
               [](node& logic, instant now, action_list& out) { logic.tick(now, out); });
-    if (host.stopping && host.logic && (host.logic->stopped(clock(host)) ||
-                                        m_now - host.stop_begun > stop_limit))
+    if (host.stopping && host.logic &&
+        (host.logic->stopped(clock(host)) || m_now - host.stop_begun > stop_limit))
     {
         const bool again = host.restart;
         kill(name);
@@ -273,7 +282,10 @@
     host.listed_until = m_now + microseconds{m_settings.list_lag};
 }
 
-void world::unlist(const std::string& name) { m_hosts.at(name).forced_out = true; }
+void world::unlist(const std::string& name)
+{
+    m_hosts.at(name).forced_out = true;
+}
 
 void world::pause(const std::string& name)
 {
@@ -334,8 +346,7 @@
     if (m_count_bytes)
         m_message_bytes += message.message.ByteSizeLong();
     const auto target = m_hosts.find(message.host);
-    if (target == m_hosts.end() || !reachable(from.name, message.host) ||
-        chance(m_settings.loss))
+    if (target == m_hosts.end() || !reachable(from.name, message.host) || chance(m_settings.loss))
         return;
     const int copies = chance(m_settings.duplicates) ? 2 : 1;
     for (int i = 0; i < copies; ++i)
@@ -375,17 +386,18 @@
                     enter(name, incarnation,
                           [read](node& logic, instant now, action_list& out)
                           {
-                              logic.on_log_read(now, read.stream,
-                                                tl::make_unexpected(error{error_kind::timed_out,
-                                                                          "the log is out of reach"}),
-                                                out);
+                              logic.on_log_read(
+                                  now, read.stream,
+                                  tl::make_unexpected(
+                                      error{error_kind::timed_out, "the log is out of reach"}),
+                                  out);
                           });
                 });
         return;
     }
     const auto until = m_now + microseconds{read.wait};
-    deliver(delay(name, "log") + m_log_delay,
-            [this, name, incarnation, read, until] { answer_read(name, incarnation, read, until); });
+    deliver(delay(name, "log") + m_log_delay, [this, name, incarnation, read, until]
+            { answer_read(name, incarnation, read, until); });
 }
 
 void world::answer_read(const std::string& name, std::uint64_t incarnation,
@@ -425,14 +437,15 @@
             const bool listed = host.listed_from >= microseconds{0} && m_now >= host.listed_from &&
                                 (host.listed_until < microseconds{0} || m_now < host.listed_until);
             if (listed && !host.forced_out)
-                result->hosts.push_back({other, host.centre, "", host.stopping});
+                result->hosts.push_back({other, host.centre, "", "", host.stopping});
         }
         result->leaving_workers.assign(m_leaving_workers.begin(), m_leaving_workers.end());
     }
     deliver(2 * delay(name, "log"),
             [this, name, incarnation = from.incarnation, result]
             {
-                enter(name, incarnation, [result](node& logic, instant now, action_list& out)
+                enter(name, incarnation,
+                      [result](node& logic, instant now, action_list& out)
                       { logic.on_host_list(now, result, out); });
             });
 }
@@ -445,15 +458,18 @@
     const auto request = question.request;
     const auto answer = [this, name, incarnation, request](worker_answer text)
     {
-        enter(name, incarnation, [request, text](node& logic, instant now, action_list& out)
+        enter(name, incarnation,
+              [request, text](node& logic, instant now, action_list& out)
               { logic.on_worker(now, request, text, out); });
     };
     const auto worker_name = question.worker;
     const auto target = m_workers.find(worker_name);
     if (target == m_workers.end() || !target->second.model)
     {
-        deliver(delay(name, worker_name), [answer]
-                { answer(error{error_kind::unreachable, "connection refused"}); });
+        deliver(delay(name, worker_name),
+                [answer] {
+                    answer(error{error_kind::unreachable, "connection refused"});
+                });
         return;
     }
     auto wait = request_timeout;
@@ -638,9 +654,15 @@
     return fault;
 }
 
-node* world::host(const std::string& name) { return m_hosts.at(name).logic.get(); }
+node* world::host(const std::string& name)
+{
+    return m_hosts.at(name).logic.get();
+}
 
-bool world::alive(const std::string& name) const { return m_hosts.at(name).logic != nullptr; }
+bool world::alive(const std::string& name) const
+{
+    return m_hosts.at(name).logic != nullptr;
+}
 
 std::vector<std::string> world::host_names() const
 {
@@ -663,7 +685,10 @@
     return m_workers.at(name).model.get();
 }
 
-std::string world::centre_of(const std::string& name) const { return m_centres.at(name); }
+std::string world::centre_of(const std::string& name) const
+{
+    return m_centres.at(name);
+}
 
 std::vector<std::string> world::serving(const std::string& centre, std::uint32_t shard)
 {
@@ -680,9 +705,10 @@
     node_counters sum;
     for (const auto& [name, host] : m_hosts)
         if (host.logic)
-            boost::mp11::mp_for_each<boost::describe::describe_members<
-                node_counters, boost::describe::mod_public>>(
-                [&](auto d) { sum.*d.pointer += host.logic->counters().*d.pointer; });
+            boost::mp11::mp_for_each<
+                boost::describe::describe_members<node_counters, boost::describe::mod_public>>(
+                [&sum, &logic = *host.logic](auto d)
+                { sum.*d.pointer += logic.counters().*d.pointer; });
     return sum;
 }
 
--- a/harness/world.hpp
+++ b/harness/world.hpp
@@ -34,14 +34,14 @@
     microseconds tick = milliseconds{10};
     microseconds least_delay{200};
     microseconds most_delay{800};
-    double loss = 0;      // of messages between hosts
+    double loss = 0;       // of messages between hosts
     double duplicates = 0; // of messages between hosts
     milliseconds list_lag{3000};
     milliseconds most_clock_offset{100};
     milliseconds lease{2000};
     milliseconds host_list_lag{30000};
     milliseconds snapshot_every{std::chrono::hours{6}};
-    std::string extra_config; // more objects, as YAML documents
+    std::string extra_config;    // more objects, as YAML documents
     bool unsafe_workers = false; // workers ignore fences: the checker must see it
     bool constant_delay = false;
 };
@@ -73,7 +73,7 @@
     void pause(const std::string& host);
     void resume(const std::string& host);
     void stop(const std::string& host);
-    void cut(const std::string& a, const std::string& b);   // hosts, workers, centres or "log"
+    void cut(const std::string& a, const std::string& b); // hosts, workers, centres or "log"
     void heal(const std::string& a, const std::string& b);
     void heal_all();
     void set_log(log_state state) { m_log_state = state; }
--- a/include/egretledge/types.hpp
+++ b/include/egretledge/types.hpp
@@ -111,10 +111,11 @@
     wrong_data_centre
 };
 BOOST_DESCRIBE_ENUM(answer_kind, ok, task_failed, deadline_passed, cancelled, worker_lost,
-                    cancelled_before_start, expired_in_queue, no_worker_fits, over_capacity, over_quota, before_takeover, recovering,
-                    owner_unreachable, no_owner, key_expired, bad_key, key_ahead_of_clock,
-                    key_conflict, unknown_service, unknown_team, bad_request, too_large, not_seen,
-                    still_running, no_configuration, not_authorised, wrong_data_centre)
+                    cancelled_before_start, expired_in_queue, no_worker_fits, over_capacity,
+                    over_quota, before_takeover, recovering, owner_unreachable, no_owner,
+                    key_expired, bad_key, key_ahead_of_clock, key_conflict, unknown_service,
+                    unknown_team, bad_request, too_large, not_seen, still_running, no_configuration,
+                    not_authorised, wrong_data_centre)
 
 // One row of the table of answer kinds: the outcome it belongs to, the HTTP status it is sent
 // with, and what the caller should do.
@@ -155,6 +156,7 @@
     error_kind kind = error_kind::internal;
     std::string message;
 };
+BOOST_DESCRIBE_STRUCT(error, (), (kind, message))
 
 template <class T>
 using expected = tl::expected<T, error>;
--- a/include/egretledge/worker_protocol.hpp
+++ b/include/egretledge/worker_protocol.hpp
@@ -40,7 +40,8 @@
     std::int64_t lapses_at_us = 0;
     std::uint32_t queued = 0;
 };
-BOOST_DESCRIBE_STRUCT(lease_grant, (), (worker_incarnation, lease, slots, now_us, lapses_at_us, queued))
+BOOST_DESCRIBE_STRUCT(lease_grant, (),
+                      (worker_incarnation, lease, slots, now_us, lapses_at_us, queued))
 
 // One task to start. deadline_ms is the job's deadline in Unix time.
 struct start_order
@@ -197,11 +198,10 @@
     std::int64_t history_since_ms = 0;
     std::vector<history_record> records;
 };
-BOOST_DESCRIBE_STRUCT(history_reply, (),
-                      (worker_incarnation, now_us, history_since_ms, records))
+BOOST_DESCRIBE_STRUCT(history_reply, (), (worker_incarnation, now_us, history_since_ms, records))
 
-// POST /v1/stops. Stops the running tasks of these jobs and puts each job on record as closed, unless
-// the epoch is below the shard's.
+// POST /v1/stops. Stops the running tasks of these jobs and puts each job on record as closed,
+// unless the epoch is below the shard's.
 struct job_close
 {
     job_id job;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -72,9 +72,9 @@
                               object_kind::region},
     field<data_centre_object>{"shards", unit::count, &data_centre_object::shards, false, 1,
                               max_shards, nothing}};
-const std::array entry_host_fields{
-    field<entry_host_object>{"data_centre", unit::reference, &entry_host_object::data_centre, true,
-                             0, top, object_kind::data_centre}};
+const std::array entry_host_fields{field<entry_host_object>{"data_centre", unit::reference,
+                                                            &entry_host_object::data_centre, true,
+                                                            0, top, object_kind::data_centre}};
 const std::array policy_fields{
     field<policy_object>{"retry_limit", unit::count, &policy_object::retry_limit, false, 0, 20,
                          nothing},
@@ -84,8 +84,8 @@
                          1, 5, nothing},
     field<policy_object>{"quarantine_share", unit::number, &policy_object::quarantine_share, false,
                          0, 0.9, nothing},
-    field<policy_object>{"queue_ahead", unit::count, &policy_object::queue_ahead, false, 0,
-                         64, nothing},
+    field<policy_object>{"queue_ahead", unit::count, &policy_object::queue_ahead, false, 0, 64,
+                         nothing},
     field<policy_object>{"admission_wait", unit::duration, &policy_object::admission_wait_ms, false,
                          1, max_duration_ms, nothing}};
 const std::array executor_pool_fields{
@@ -254,8 +254,9 @@
         if (text.empty())
             add_fault(out, object, prefix + "must not be empty");
         if (row.kind == unit::sha256 && !is_sha256(text))
-            add_fault(out, object, prefix + "needs 64 lower-case hexadecimal digits; make them "
-                                            "with 'egretctl hash-token'");
+            add_fault(out, object,
+                      prefix + "needs 64 lower-case hexadecimal digits; make them "
+                               "with 'egretctl hash-token'");
         return;
     }
     const auto value = parse_value(row.kind, text);
@@ -344,21 +345,21 @@
 {
     for (const auto& [name, pool] : config.executor_pools)
         for (std::uint64_t i = 0; i < pool.count; ++i)
-            config.executors.push_back(
-                {name + "-" + std::to_string(i + 1),
-                 pool.address + ":" + std::to_string(pool.first_port + i), pool.data_centre,
-                 static_cast<std::uint32_t>(i / pool.per_rack),
-                 static_cast<std::uint32_t>(pool.slots),
-                 static_cast<std::uint32_t>(pool.connections), pool.processors, pool.memory,
-                 pool.accelerators});
+            config.executors.push_back({name + "-" + std::to_string(i + 1),
+                                        pool.address + ":" + std::to_string(pool.first_port + i),
+                                        pool.data_centre,
+                                        static_cast<std::uint32_t>(i / pool.per_rack),
+                                        static_cast<std::uint32_t>(pool.slots),
+                                        static_cast<std::uint32_t>(pool.connections),
+                                        pool.processors, pool.memory, pool.accelerators});
 }
 
 const config_object& object_of(const configuration& config, object_kind kind,
                                const std::string& name)
 {
-    const auto found =
-        std::find_if(config.objects.begin(), config.objects.end(), [&](const config_object& o)
-                     { return o.kind == name_of(kind) && o.name == name; });
+    const auto found = std::find_if(config.objects.begin(), config.objects.end(),
+                                    [&](const config_object& o)
+                                    { return o.kind == name_of(kind) && o.name == name; });
     return *found;
 }
 
@@ -366,7 +367,7 @@
 {
     for (const auto& [name, service] : config.services)
         if (std::none_of(config.executors.begin(), config.executors.end(),
-                         [&](const executor& e) { return e.fits(service); }))
+                         [&needs = service](const executor& e) { return e.fits(needs); }))
             add_fault(out, object_of(config, object_kind::service, name),
                       "no executor has the processors, memory and accelerators it needs; lower its "
                       "needs or publish a larger pool");
@@ -462,15 +463,18 @@
 
 const config_object* find_object(const std::vector<config_object>& in, const config_object& like)
 {
-    const auto found =
-        std::find_if(in.begin(), in.end(), [&](const config_object& o)
-                     { return o.kind == like.kind && o.name == like.name; });
+    const auto found = std::find_if(in.begin(), in.end(),
+                                    [&](const config_object& o)
+                                    { return o.kind == like.kind && o.name == like.name; });
     return found == in.end() ? nullptr : &*found;
 }
 
 } // namespace
 
-std::string_view name_of(object_kind value) { return boost::describe::enum_to_string(value, "?"); }
+std::string_view name_of(object_kind value)
+{
+    return boost::describe::enum_to_string(value, "?");
+}
 
 std::string describe(const config_fault& fault)
 {
@@ -639,7 +643,8 @@
     };
     std::erase_if(base, replaced);
     base.insert(base.end(), change.changed.begin(), change.changed.end());
-    std::sort(base.begin(), base.end(), [](const config_object& a, const config_object& b)
+    std::sort(base.begin(), base.end(),
+              [](const config_object& a, const config_object& b)
               { return std::tie(a.kind, a.name) < std::tie(b.kind, b.name); });
     return base;
 }
--- a/src/core/config_follower.cpp
+++ b/src/core/config_follower.cpp
@@ -126,8 +126,8 @@
     judged_publication verdict{text.id(), text.author(), entry.offset, m_revision, {}, {}, {}};
     // A publication whose append was tried twice counts once.
     const bool repeated =
-        std::any_of(m_history.begin(), m_history.end(), [&](const judged_publication& p)
-                    { return p.id == text.id(); });
+        std::any_of(m_history.begin(), m_history.end(),
+                    [&](const judged_publication& p) { return p.id == text.id(); });
     if (repeated)
         return false;
     verdict.objects = clashes(text);
@@ -151,8 +151,7 @@
         change.removed.push_back({object.kind(), object.name(), "", "", 0});
         verdict.objects.push_back(object.kind() + " " + object.name());
     }
-    const bool installed =
-        install(egretledge::apply(m_objects, change), m_revision + 1, verdict);
+    const bool installed = install(egretledge::apply(m_objects, change), m_revision + 1, verdict);
     if (installed)
     {
         for (const auto& object : change.changed)
@@ -230,11 +229,12 @@
         const auto changed = m_changed_at.find({object.kind, object.name});
         line.set_changed_at(changed == m_changed_at.end() ? 0 : changed->second);
     }
-    for (const auto& [name, revision] : m_changed_at)
+    for (const auto& [changed, revision] : m_changed_at)
     {
-        const bool present =
-            std::any_of(m_objects.begin(), m_objects.end(), [&](const config_object& o)
-                        { return o.kind == name.first && o.name == name.second; });
+        const auto& name = changed;
+        const bool present = std::any_of(m_objects.begin(), m_objects.end(),
+                                         [&](const config_object& o)
+                                         { return o.kind == name.first && o.name == name.second; });
         if (present || revision <= m_base_floor)
             continue;
         auto& line = *state.add_removed();
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -2,10 +2,11 @@
 //
 // Tasks wait at this host, not at the workers: a worker is sent at most its free slots plus a few
 // tasks ahead (late binding), so a task is bound to a worker about when a slot frees. Hosts share
-// the workers without a shared view. Each answer of a worker says how many tasks it has in all; what
-// is not ours belongs to others, and the least loaded worker by that figure gets the next task.
-// The figure is as old as the last answer; a host that has work waiting and no fresh figures asks
-// two random workers for one (a lease renewal serves as the question), which is counted as waste.
+// the workers without a shared view. Each answer of a worker says how many tasks it has in all;
+// what is not ours belongs to others, and the least loaded worker by that figure gets the next
+// task. The figure is as old as the last answer; a host that has work waiting and no fresh figures
+// asks two random workers for one (a lease renewal serves as the question), which is counted as
+// waste.
 //
 // Every start has a sequence within this host's lease on the worker. Three things can happen to it:
 //   - the worker accepts it, and a result follows;
@@ -83,8 +84,8 @@
     {
         if (about.data_centre != m_settings.data_centre)
             continue;
-        const auto [entry, fresh] = m_worker_index.try_emplace(
-            about.name, static_cast<std::uint32_t>(m_workers.size()));
+        const auto [entry, fresh] =
+            m_worker_index.try_emplace(about.name, static_cast<std::uint32_t>(m_workers.size()));
         if (fresh)
         {
             m_workers.push_back(std::make_unique<worker_view>());
@@ -106,8 +107,7 @@
 void dispatcher::set_leaving_workers(const std::vector<std::string>& names)
 {
     for (auto& worker : m_workers)
-        worker->leaving =
-            std::find(names.begin(), names.end(), worker->about.name) != names.end();
+        worker->leaving = std::find(names.begin(), names.end(), worker->about.name) != names.end();
 }
 
 const service_object* dispatcher::service_of(const std::string& name) const
@@ -120,14 +120,15 @@
 
 bool dispatcher::any_fit(const service_object& service) const
 {
-    return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto& worker)
+    return std::any_of(m_workers.begin(), m_workers.end(),
+                       [&](const auto& worker)
                        { return worker->configured && worker->about.fits(service); });
 }
 
 milliseconds dispatcher::run_time_of(const std::string& service, std::uint32_t declared_ms) const
 {
     const auto* about = service_of(service);
-    const auto declared = declared_ms > 0 ? declared_ms
+    const auto declared = declared_ms > 0    ? declared_ms
                           : about != nullptr ? static_cast<std::uint32_t>(about->run_time_ms)
                                              : 1;
     return m_run_times.expect(service, milliseconds{declared});
@@ -138,12 +139,15 @@
     double slots = 0;
     for (const auto& worker : m_workers)
         if (worker->configured && !worker->leaving && worker->health != worker_health::quarantined)
-            slots += std::max(
-                0.0, static_cast<double>(worker->about.slots) - static_cast<double>(worker->others));
+            slots += std::max(0.0, static_cast<double>(worker->about.slots) -
+                                       static_cast<double>(worker->others));
     return std::max(1.0, slots);
 }
 
-bool dispatcher::over_quota(const std::string& team) const { return m_queue.at_quota(team); }
+bool dispatcher::over_quota(const std::string& team) const
+{
+    return m_queue.at_quota(team);
+}
 
 milliseconds dispatcher::expected_wait() const
 {
@@ -188,8 +192,8 @@
     {
         if (task.worker == open_task::no_worker)
             continue;
-        const bool running = task.state == run_state::running ||
-                             task.state == run_state::start_sent;
+        const bool running =
+            task.state == run_state::running || task.state == run_state::start_sent;
         (running ? with_running : with_ended).push_back(task.worker);
     }
     std::sort(with_running.begin(), with_running.end());
@@ -234,9 +238,8 @@
     about.sent = now.steady;
     const auto& view = *m_workers[worker];
     // A start batch's payloads are not kept: its sequences suffice to resolve a lost answer.
-    worker_question kept = std::holds_alternative<start_batch>(text)
-                               ? worker_question{start_batch{}}
-                               : text;
+    worker_question kept =
+        std::holds_alternative<start_batch>(text) ? worker_question{start_batch{}} : text;
     m_questions.emplace(request, std::make_pair(about, std::move(kept)));
     out.push_back(
         actions::ask_worker{view.about.name, view.about.address, request, std::move(text)});
@@ -295,8 +298,7 @@
             const bool wanted = worker->configured && !worker->leaving;
             const bool needed = wanted && leased < m_settings.most_workers;
             leased += needed ? 1 : 0;
-            const bool lapsing =
-                worker->lease == 0 || worker->lapses - now.steady < renew_before;
+            const bool lapsing = worker->lease == 0 || worker->lapses - now.steady < renew_before;
             if (needed && lapsing && !worker->lease_asked && now.steady >= worker->ask_after)
                 ask_lease(worker->index, now, out);
         }
@@ -402,7 +404,8 @@
 
 bool dispatcher::fits_everywhere(const service_object& service) const
 {
-    return std::all_of(m_workers.begin(), m_workers.end(), [&](const auto& worker)
+    return std::all_of(m_workers.begin(), m_workers.end(),
+                       [&](const auto& worker)
                        { return !worker->configured || worker->about.fits(service); });
 }
 
@@ -718,8 +721,7 @@
     if (start.job == nullptr || service == nullptr)
         return;
     const auto declared = start.job->tasks[start.task].size_ms;
-    m_run_times.learn(start.service,
-                      milliseconds{declared > 0 ? declared : service->run_time_ms},
+    m_run_times.learn(start.service, milliseconds{declared > 0 ? declared : service->run_time_ms},
                       microseconds{line.ran_us});
 }
 
@@ -733,9 +735,10 @@
     {
         if (!start.in_doubt || sequence < about.first || sequence > about.last)
             continue;
-        const bool on_record =
-            std::any_of(reply.records.begin(), reply.records.end(), [&](const history_record& r)
-                        { return r.job == start.id && r.task == start.task && r.sequence == sequence; });
+        const bool on_record = std::any_of(
+            reply.records.begin(), reply.records.end(),
+            [&start = start, number = sequence](const history_record& r)
+            { return r.job == start.id && r.task == start.task && r.sequence == number; });
         if (!on_record)
         {
             never_started.push_back(sequence);
@@ -779,7 +782,9 @@
 void dispatcher::quarantine(instant now, worker_view& worker, const policy_object& policy)
 {
     const auto most = policy.quarantine_share * static_cast<double>(m_workers.size());
-    if (worker.health == worker_health::quarantined ||
+    // A lone worker has nobody to be compared with, and nobody to take its place.
+    const bool lone = m_workers.size() < 2;
+    if (lone || worker.health == worker_health::quarantined ||
         static_cast<double>(m_quarantined + 1) > std::max(1.0, most))
         return;
     ++m_quarantined;
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -37,9 +37,9 @@
 enum class task_change : std::uint8_t
 {
     done,
-    failed,  // ran and failed
-    lost,    // may have run; its worker's process is over
-    closed   // a worker recorded that the job is closed
+    failed, // ran and failed
+    lost,   // may have run; its worker's process is over
+    closed  // a worker recorded that the job is closed
 };
 
 struct task_event
--- a/src/core/job.hpp
+++ b/src/core/job.hpp
@@ -62,7 +62,7 @@
     answer_kind closing_kind = answer_kind::ok;
     std::string closing_detail;
     bool cancelled = false; // nothing of it had started; it ends as "not run"
-    bool expired = false; // the deadline passed while it was in doubt whether anything started
+    bool expired = false;   // the deadline passed while it was in doubt whether anything started
 };
 
 } // namespace egretledge
--- a/src/core/job_memory.cpp
+++ b/src/core/job_memory.cpp
@@ -15,7 +15,10 @@
 constexpr milliseconds seal_after{30000};
 constexpr std::size_t reseal_at = 64;
 
-milliseconds slice_begin(milliseconds made) { return made - made % slice_span; }
+milliseconds slice_begin(milliseconds made)
+{
+    return made - made % slice_span;
+}
 
 } // namespace
 
--- a/src/core/job_memory.hpp
+++ b/src/core/job_memory.hpp
@@ -5,8 +5,8 @@
 // body and its answer, for as long as its key may be used.
 //
 // Jobs fall into slices by the time inside their keys, so that expiry drops whole slices and needs
-// no list of times. A slice is a hash table while keys of its time arrive, and is then packed into a
-// sorted array: 40 bytes a job beyond the answer.
+// no list of times. A slice is a hash table while keys of its time arrive, and is then packed into
+// a sorted array: 40 bytes a job beyond the answer.
 
 #include "egretledge/types.hpp"
 #include "proto/egretledge.pb.h"
--- a/src/core/job_owner.cpp
+++ b/src/core/job_owner.cpp
@@ -13,8 +13,8 @@
 //     have refused (its refusals are bounded, see ownership.cpp), is not run now either, and
 //     answered "not run": true in either case. If it was not refused, it simply runs.
 //   - A job that has started ends as "failed" only after a worker has recorded it as closed, under
-//     the owner's epoch. So the next owner, which reads all records and fences older epochs by doing
-//     so, finds every failure that was answered: a job on record that is not closed was never
+//     the owner's epoch. So the next owner, which reads all records and fences older epochs by
+//     doing so, finds every failure that was answered: a job on record that is not closed was never
 //     answered as failed, and is resumed or completed. If no worker can record the closing, the
 //     callers are told "unknown" at the deadline.
 //
@@ -192,8 +192,8 @@
 
 // A key that was made before this host took the shard over.
 call_fate job_owner::on_past(instant now, std::uint64_t call, const wire::Call& text,
-                             const job_key& key, const job_id& id, past state,
-                             wire::Answer& answer, action_list& out)
+                             const job_key& key, const job_id& id, past state, wire::Answer& answer,
+                             action_list& out)
 {
     const auto shard = shard_of(id, m_owners.shard_count());
     const auto* record = m_recovery.find(shard, id);
@@ -202,9 +202,9 @@
     case past::collecting:
         return call_fate::wait;
     case past::gap:
-        answer = make_answer(answer_kind::recovering,
-                             "a worker lost its records; the key's history is not complete",
-                             retry_soon);
+        answer =
+            make_answer(answer_kind::recovering,
+                        "a worker lost its records; the key's history is not complete", retry_soon);
         return call_fate::answered;
     case past::on_record:
         return on_recovered(now, call, text, key, id, *record, answer, out);
@@ -228,9 +228,8 @@
 
 // A key of which a former owner started tasks, or which it closed.
 call_fate job_owner::on_recovered(instant now, std::uint64_t call, const wire::Call& text,
-                                  const job_key& key, const job_id& id,
-                                  const recovered_job& record, wire::Answer& answer,
-                                  action_list& out)
+                                  const job_key& key, const job_id& id, const recovered_job& record,
+                                  wire::Answer& answer, action_list& out)
 {
     const bool has_body = text.kind() == wire::SUBMIT;
     if (has_body && record.digest != digest_of(text.job()))
@@ -249,7 +248,8 @@
     }
     const bool broken = record.any(record_state::failed) || record.any(record_state::stopped);
     const bool late = now.wall >= record.deadline;
-    if (text.kind() == wire::QUERY || (!has_body && !broken && !late && text.kind() != wire::CANCEL))
+    if (text.kind() == wire::QUERY ||
+        (!has_body && !broken && !late && text.kind() != wire::CANCEL))
     {
         answer = make_answer(answer_kind::recovering,
                              "its owner changed while it ran; submit it again with the same key",
@@ -453,8 +453,8 @@
     return answer;
 }
 
-// Gives the job its one final answer. Only "not run" needs the lease at this moment: complete is true
-// whoever owns the shard, and a failure is on record by now.
+// Gives the job its one final answer. Only "not run" needs the lease at this moment: complete is
+// true whoever owns the shard, and a failure is on record by now.
 void job_owner::finish(instant now, open_job& job, answer_kind kind, std::string detail)
 {
     const auto result = row_of(kind).result;
@@ -477,9 +477,9 @@
 {
     if (job.closing)
         return;
-    const bool untouched =
-        std::all_of(job.tasks.begin(), job.tasks.end(), [](const open_task& t)
-                    { return t.state == run_state::not_started && !t.has_run(); });
+    const bool untouched = std::all_of(
+        job.tasks.begin(), job.tasks.end(),
+        [](const open_task& t) { return t.state == run_state::not_started && !t.has_run(); });
     if (untouched && may_refuse(now, job.shard, job.made))
         return finish(now, job, answer_kind::cancelled_before_start, {});
     if (untouched)
@@ -511,8 +511,7 @@
 {
     if (now.steady >= job.deadline)
         tell_callers(job, make_answer(answer_kind::recovering,
-                                      "it ends, but no worker has confirmed that yet",
-                                      retry_soon));
+                                      "it ends, but no worker has confirmed that yet", retry_soon));
     m_dispatcher.close(job, m_owners.epoch_of(job.shard), now, out);
 }
 
@@ -573,8 +572,9 @@
 {
     const bool started = std::any_of(job.tasks.begin(), job.tasks.end(),
                                      [](const open_task& t) { return t.has_run(); });
-    const bool doubtful = std::any_of(job.tasks.begin(), job.tasks.end(), [](const open_task& t)
-                                      { return t.state == run_state::start_sent; });
+    const bool doubtful =
+        std::any_of(job.tasks.begin(), job.tasks.end(),
+                    [](const open_task& t) { return t.state == run_state::start_sent; });
     if (started)
     {
         begin_close(now, job, answer_kind::deadline_passed, {}, out);
@@ -632,8 +632,8 @@
             continue;
         const auto request = m_dispatcher.next_request();
         const auto& workers = m_dispatcher.workers();
-        const auto worker = std::find_if(workers.begin(), workers.end(), [&](const auto& w)
-                                         { return w->about.name == name; });
+        const auto worker = std::find_if(workers.begin(), workers.end(),
+                                         [&](const auto& w) { return w->about.name == name; });
         EGRET_CHECK(worker != workers.end(), "a worker stays known once it was configured");
         m_history_questions.emplace(request, history_question{name, question});
         out.push_back(actions::ask_worker{name, (*worker)->about.address, request, question});
@@ -723,9 +723,11 @@
 {
     if (job.closing || !m_owners.may_serve(job.shard, now))
         return false;
-    const auto ended = std::find_if(job.tasks.begin(), job.tasks.end(), [](const open_task& t)
-                                    { return t.state == run_state::task_failed ||
-                                             t.state == run_state::may_have_run; });
+    const auto ended = std::find_if(job.tasks.begin(), job.tasks.end(),
+                                    [](const open_task& t) {
+                                        return t.state == run_state::task_failed ||
+                                               t.state == run_state::may_have_run;
+                                    });
     if (ended == job.tasks.end())
         return false;
     const auto kind = ended->state == run_state::task_failed ? answer_kind::task_failed
@@ -810,8 +812,7 @@
                 job->second->tasks[index].state != run_state::running ||
                 !job->second->tasks[index].adopted)
                 continue;
-            end_task(now, *job->second, index, state_of(task.state), task.output, task.worker,
-                     out);
+            end_task(now, *job->second, index, state_of(task.state), task.output, task.worker, out);
         }
     }
 }
--- a/src/core/job_owner.hpp
+++ b/src/core/job_owner.hpp
@@ -87,9 +87,8 @@
 private:
     using job_map = boost::unordered_flat_map<job_id, std::unique_ptr<open_job>, job_id_hash>;
 
-    call_fate on_submit(instant now, std::uint64_t call, const wire::Call& text,
-                        const job_key& key, const job_id& id, wire::Answer& answer,
-                        action_list& out);
+    call_fate on_submit(instant now, std::uint64_t call, const wire::Call& text, const job_key& key,
+                        const job_id& id, wire::Answer& answer, action_list& out);
     call_fate on_known(open_job& job, std::uint64_t call, const wire::Call& text, instant now,
                        wire::Answer& answer, action_list& out);
     call_fate on_past(instant now, std::uint64_t call, const wire::Call& text, const job_key& key,
--- a/src/core/messages.hpp
+++ b/src/core/messages.hpp
@@ -34,10 +34,11 @@
 {
     std::string name;
     std::string data_centre;
-    std::string peer_address;
+    std::string peer_address; // tcp://IP:PORT
+    std::string http_address; // IP:PORT
     bool leaving = false;
 };
-BOOST_DESCRIBE_STRUCT(listed_host, (), (name, data_centre, peer_address, leaving))
+BOOST_DESCRIBE_STRUCT(listed_host, (), (name, data_centre, peer_address, http_address, leaving))
 
 struct host_listing
 {
@@ -95,9 +96,9 @@
 
 } // namespace actions
 
-using action = std::variant<actions::reply_call, actions::send_peer, actions::append_log,
-                            actions::read_log, actions::fetch_hosts, actions::ask_worker,
-                            actions::log_event>;
+using action =
+    std::variant<actions::reply_call, actions::send_peer, actions::append_log, actions::read_log,
+                 actions::fetch_hosts, actions::ask_worker, actions::log_event>;
 using action_list = std::vector<action>;
 
 } // namespace egretledge
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -10,9 +10,9 @@
 // one has.
 //
 // Stop and replacement: a host that is stopped, or owns more than its share, hands shards over. It
-// freezes the shard, sends its memory of it to the next owner, and on the acknowledgement claims the
-// shard in that host's name. Open jobs are not waited for: the next owner finds their tasks on the
-// workers' records and goes on.
+// freezes the shard, sends its memory of it to the next owner, and on the acknowledgement claims
+// the shard in that host's name. Open jobs are not waited for: the next owner finds their tasks on
+// the workers' records and goes on.
 
 #include "core/node.hpp"
 #include "core/check.hpp"
@@ -43,7 +43,10 @@
 
 node::~node() = default;
 
-bool node::ready() const { return !m_leaving && m_owners != nullptr && m_have_listing; }
+bool node::ready() const
+{
+    return !m_leaving && m_owners != nullptr && m_have_listing;
+}
 
 void node::log(action_list& out, std::string text) const
 {
@@ -69,8 +72,8 @@
     m_settings.routing.self = m_settings.self;
     m_settings.routing.data_centre = m_settings.data_centre;
     m_owners = std::make_unique<ownership>(m_settings.owners, m_random());
-    m_jobs = std::make_unique<job_owner>(m_settings.jobs, *m_owners, m_counters,
-                                         m_settings.workers, m_random());
+    m_jobs = std::make_unique<job_owner>(m_settings.jobs, *m_owners, m_counters, m_settings.workers,
+                                         m_random());
     m_router = std::make_unique<router>(m_settings.routing, *m_owners, *m_jobs, m_counters);
 }
 
@@ -307,8 +310,8 @@
     if (!m_owners)
         return true;
     const auto peers = m_owners->live_peers(now);
-    return std::none_of(peers.begin(), peers.end(), [&](const host_ref& peer)
-                        { return peer.name < m_settings.self.name; });
+    return std::none_of(peers.begin(), peers.end(),
+                        [&](const host_ref& peer) { return peer.name < m_settings.self.name; });
 }
 
 void node::read_stream(stream_reader& reader, std::uint64_t from, instant now, action_list& out)
@@ -399,8 +402,8 @@
         return;
     wire::PeerMessage message;
     const auto& recent = m_config.recent();
-    const bool covered = !recent.empty() && request.revision() > 0 &&
-                         recent.front().offset <= request.next_offset();
+    const bool covered =
+        !recent.empty() && request.revision() > 0 && recent.front().offset <= request.next_offset();
     if (!covered)
         *message.mutable_config_state() = m_config.state();
     else
@@ -512,8 +515,7 @@
             continue;
         std::uint32_t theirs = 0;
         const auto to = least_owning_peer(now, theirs);
-        const auto ours =
-            m_owners->owned_count() - static_cast<std::uint32_t>(m_handovers.size());
+        const auto ours = m_owners->owned_count() - static_cast<std::uint32_t>(m_handovers.size());
         if (to.empty() || (!m_leaving && ours <= theirs + rebalance_slack))
             return;
         start_handover(now, shard, to, out);
--- a/src/core/ownership.cpp
+++ b/src/core/ownership.cpp
@@ -106,16 +106,16 @@
 
 std::uint32_t ownership::owned_count() const
 {
-    return static_cast<std::uint32_t>(
-        std::count_if(m_shards.begin(), m_shards.end(),
-                      [&](const shard_state& s) { return s.owner == m_settings.self; }));
+    return static_cast<std::uint32_t>(std::count_if(m_shards.begin(), m_shards.end(),
+                                                    [&](const shard_state& s)
+                                                    { return s.owner == m_settings.self; }));
 }
 
 std::uint32_t ownership::owned_by(const std::string& host) const
 {
-    return static_cast<std::uint32_t>(
-        std::count_if(m_shards.begin(), m_shards.end(),
-                      [&](const shard_state& s) { return s.owner.name == host; }));
+    return static_cast<std::uint32_t>(std::count_if(m_shards.begin(), m_shards.end(),
+                                                    [&](const shard_state& s)
+                                                    { return s.owner.name == host; }));
 }
 
 std::vector<host_ref> ownership::live_peers(instant now, bool with_leaving) const
@@ -222,16 +222,18 @@
         if (name == m_settings.self.name || m_unlisted.contains(name))
             continue;
         const auto peer = m_peers.find(name);
-        const bool heard =
-            peer != m_peers.end() && peer->second.incarnation != 0 &&
-            now.steady - peer->second.heard < microseconds{m_settings.lease};
+        const bool heard = peer != m_peers.end() && peer->second.incarnation != 0 &&
+                           now.steady - peer->second.heard < microseconds{m_settings.lease};
         if (!heard)
             return false;
     }
     return true;
 }
 
-void ownership::on_log_reachable(instant, bool reachable) { m_log_reachable = reachable; }
+void ownership::on_log_reachable(instant, bool reachable)
+{
+    m_log_reachable = reachable;
+}
 
 void ownership::on_log_page(instant now, const log_page& page, ownership_events& events)
 {
@@ -528,8 +530,8 @@
 }
 
 // Claims the shard in the receiver's name. Without a valid lease, or while the grantor may act
-// alone, the claim could overrule a takeover that the log does not know of; then the handover is given
-// up.
+// alone, the claim could overrule a takeover that the log does not know of; then the handover is
+// given up.
 void ownership::retry_handover(std::uint32_t shard, instant now, action_list& out)
 {
     auto& state = m_shards[shard];
@@ -667,9 +669,8 @@
 {
     note_incarnation(now, from);
     const auto& sent = m_sent[from.name];
-    const auto beat =
-        std::find_if(sent.begin(), sent.end(),
-                     [&](const sent_beat& b) { return b.sequence == ack.sequence(); });
+    const auto beat = std::find_if(
+        sent.begin(), sent.end(), [&](const sent_beat& b) { return b.sequence == ack.sequence(); });
     if (beat == sent.end())
         return;
     for (const auto shard : ack.granted())
--- a/src/core/ownership.hpp
+++ b/src/core/ownership.hpp
@@ -80,7 +80,8 @@
     const host_ref& owner_of(std::uint32_t shard) const { return m_shards.at(shard).owner; }
     bool owned_by_self(std::uint32_t shard) const;
 
-    // Keys made up to this time may be answered "not run": the grantor knows that they may have been.
+    // Keys made up to this time may be answered "not run": the grantor knows that they may have
+    // been.
     milliseconds refusal_bound(std::uint32_t shard) const;
     milliseconds refusals_wanted(std::uint32_t shard) const
     {
@@ -131,11 +132,11 @@
 
         // As the owner.
         microseconds lease_until{0};
-        bool sole = false;         // no other host may take this shard
-        bool offered = false;      // was the sole holder; the claim of its grantor is open
-        bool frozen = false;       // an own claim is open: the old lease is not renewed
-        bool direct_given = false; // the grantor may act without the log
-        bool lapsed = false;       // the lease lapsed since the grantor got direct_given
+        bool sole = false;             // no other host may take this shard
+        bool offered = false;          // was the sole holder; the claim of its grantor is open
+        bool frozen = false;           // an own claim is open: the old lease is not renewed
+        bool direct_given = false;     // the grantor may act without the log
+        bool lapsed = false;           // the lease lapsed since the grantor got direct_given
         std::uint64_t direct_beat = 0; // the latest heartbeat that gave it
         bool handing_over = false;
         host_ref handover_to;
@@ -146,9 +147,9 @@
         std::uint64_t refusals_beat = 0; // the first heartbeat that said refusals_wanted
 
         // As the grantor.
-        bool renewed = false;          // acknowledged this owner at least once
+        bool renewed = false;           // acknowledged this owner at least once
         milliseconds refusals_until{0}; // as the owner said
-        microseconds promised{0}; // when this host last acknowledged the owner
+        microseconds promised{0};       // when this host last acknowledged the owner
         bool direct_held = false;
 
         // As a claimant.
@@ -203,7 +204,7 @@
     std::vector<shard_state> m_shards;
     std::map<std::string, peer_state> m_peers;
     std::map<std::string, std::vector<sent_beat>> m_sent;
-    std::map<std::string, microseconds> m_listed; // host -> when the list last named it
+    std::map<std::string, microseconds> m_listed;   // host -> when the list last named it
     std::map<std::string, microseconds> m_unlisted; // host -> since when the list omits it
     microseconds m_list_read{-1};
     microseconds m_next_heartbeat{0};
--- a/src/core/recovery.cpp
+++ b/src/core/recovery.cpp
@@ -46,8 +46,7 @@
 }
 
 void recovery::begin(instant now, std::uint32_t shard, epoch owner_epoch,
-                     milliseconds answers_unknown_before,
-                     const std::vector<std::string>& workers)
+                     milliseconds answers_unknown_before, const std::vector<std::string>& workers)
 {
     shard_state state;
     state.owner_epoch = owner_epoch;
@@ -66,7 +65,10 @@
             ++shard.unanswered;
 }
 
-void recovery::end(std::uint32_t shard) { m_shards.erase(shard); }
+void recovery::end(std::uint32_t shard)
+{
+    m_shards.erase(shard);
+}
 
 milliseconds recovery::boundary(instant now) const
 {
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -13,8 +13,8 @@
 {
 
 constexpr std::uint32_t most_hops = 2;
-// Numbers of calls begin with the incarnation (milliseconds since 1970), so that an answer to a call
-// of an earlier process never meets a later one.
+// Numbers of calls begin with the incarnation (milliseconds since 1970), so that an answer to a
+// call of an earlier process never meets a later one.
 constexpr unsigned number_bits = 20;
 constexpr microseconds longest_resend = milliseconds{8000};
 constexpr milliseconds ask_again{1000};
@@ -28,7 +28,10 @@
 {
 }
 
-void router::set_hosts(const std::vector<listed_host>& hosts) { m_hosts = hosts; }
+void router::set_hosts(const std::vector<listed_host>& hosts)
+{
+    m_hosts = hosts;
+}
 
 std::uint64_t router::add(instant now, entry fresh, const job_key& key)
 {
@@ -112,8 +115,7 @@
     wire::Answer text;
     const auto left = call.deadline - now.steady - microseconds{m_settings.grace};
     const auto left_ms = std::chrono::duration_cast<milliseconds>(left).count();
-    call.call.set_remaining_ms(
-        static_cast<std::uint32_t>(std::max<milliseconds::rep>(1, left_ms)));
+    call.call.set_remaining_ms(static_cast<std::uint32_t>(std::max<milliseconds::rep>(1, left_ms)));
     const auto fate = m_jobs.on_call(now, number, call.call, call.key, text, out);
     switch (fate)
     {
@@ -215,9 +217,9 @@
 {
     if (call.where == place::at_self)
         m_jobs.forget_call(number, call.id);
-    const auto kind = call.waits_for_history            ? answer_kind::recovering
+    const auto kind = call.waits_for_history         ? answer_kind::recovering
                       : call.where == place::at_peer ? answer_kind::owner_unreachable
-                                                        : answer_kind::no_owner;
+                                                     : answer_kind::no_owner;
     answer(number, make_answer(kind, {}, ask_again), out);
 }
 
@@ -226,8 +228,8 @@
     std::vector<std::uint64_t> due;
     for (auto& [number, call] : m_entries)
     {
-        const bool owner_changed = call.where == place::at_peer && call.home &&
-                                   m_owners.owner_of(call.shard) != call.peer;
+        const bool owner_changed =
+            call.where == place::at_peer && call.home && m_owners.owner_of(call.shard) != call.peer;
         const bool retry = call.where != place::at_self && now.steady >= call.next;
         if (now.steady >= call.deadline || owner_changed || retry)
             due.push_back(number);
--- a/src/core/task_queue.cpp
+++ b/src/core/task_queue.cpp
@@ -53,8 +53,7 @@
         if (team.jobs.empty())
             continue;
         const bool at_quota = team.quota > 0 && team.held >= team.quota;
-        const bool best_at_quota =
-            best != nullptr && best->quota > 0 && best->held >= best->quota;
+        const bool best_at_quota = best != nullptr && best->quota > 0 && best->held >= best->quota;
         const bool better = best == nullptr || (best_at_quota && !at_quota) ||
                             (best_at_quota == at_quota && team.virtual_time < best->virtual_time);
         best = better ? &team : best;
--- a/src/core/types.cpp
+++ b/src/core/types.cpp
@@ -89,9 +89,15 @@
     return name;
 }
 
-bool is_plain(char c) { return std::isalnum(static_cast<unsigned char>(c)) != 0; }
+bool is_plain(char c)
+{
+    return std::isalnum(static_cast<unsigned char>(c)) != 0;
+}
 
-bool is_name_char(char c) { return is_plain(c) || c == '-' || c == '_'; }
+bool is_name_char(char c)
+{
+    return is_plain(c) || c == '-' || c == '_';
+}
 
 tl::unexpected<error> key_error(std::string message)
 {
@@ -108,10 +114,22 @@
     return answer_table[index];
 }
 
-std::string_view name_of(outcome value) { return described_name(value); }
-std::string_view name_of(run_state value) { return described_name(value); }
-std::string_view name_of(answer_kind value) { return described_name(value); }
-std::string_view name_of(error_kind value) { return described_name(value); }
+std::string_view name_of(outcome value)
+{
+    return described_name(value);
+}
+std::string_view name_of(run_state value)
+{
+    return described_name(value);
+}
+std::string_view name_of(answer_kind value)
+{
+    return described_name(value);
+}
+std::string_view name_of(error_kind value)
+{
+    return described_name(value);
+}
 
 expected<job_key> parse_job_key(std::string_view text)
 {
--- a/src/core/wire.hpp
+++ b/src/core/wire.hpp
@@ -9,7 +9,10 @@
 namespace egretledge
 {
 
-inline host_ref from_wire(const wire::HostRef& ref) { return {ref.name(), ref.incarnation()}; }
+inline host_ref from_wire(const wire::HostRef& ref)
+{
+    return {ref.name(), ref.incarnation()};
+}
 
 inline void to_wire(const host_ref& ref, wire::HostRef& out)
 {
@@ -17,7 +20,10 @@
     out.set_incarnation(ref.incarnation);
 }
 
-inline epoch from_wire(const wire::Epoch& value) { return {value.term(), value.direct()}; }
+inline epoch from_wire(const wire::Epoch& value)
+{
+    return {value.term(), value.direct()};
+}
 
 inline void to_wire(const epoch& value, wire::Epoch& out)
 {
--- a/src/core/worker_view.hpp
+++ b/src/core/worker_view.hpp
@@ -24,7 +24,7 @@
 
 enum class worker_health : std::uint8_t
 {
-    unproven,    // nothing has succeeded yet: few tasks at once
+    unproven, // nothing has succeeded yet: few tasks at once
     good,
     quarantined, // nothing is sent until the next single test
     on_test      // one task is out as a test
--- /dev/null
+++ b/src/io/codec.cpp
@@ -0,0 +1,294 @@
+// JSON through Boost.JSON and Boost.Describe: structs of our own choice convert by their
+// description. What callers send is read by hand, field by field, because its errors are read by
+// people and must name the field and the remedy.
+
+#include "io/codec.hpp"
+#include "core/wire.hpp"
+#include <array>
+#include <limits>
+#include <openssl/evp.h>
+#include <openssl/sha.h>
+
+namespace egretledge
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr std::uint32_t most_ms = 3'600'000;
+
+tl::unexpected<error> bad(std::string message)
+{
+    return tl::make_unexpected(error{error_kind::bad_input, std::move(message)});
+}
+
+expected<std::uint32_t> read_ms(const json::value& value, const std::string& field)
+{
+    if (!value.is_int64() || value.get_int64() < 0 || value.get_int64() > most_ms)
+        return bad("field '" + field + "' is a whole number from 0 to 3600000 (milliseconds)");
+    return static_cast<std::uint32_t>(value.get_int64());
+}
+
+expected<void> read_task(const json::value& value, wire::Task& task)
+{
+    if (!value.is_object())
+        return bad("each task is an object with a 'payload'");
+    for (const auto& [name, field] : value.get_object())
+    {
+        if (name == "payload" && field.is_string())
+            task.set_payload(std::string(field.get_string()));
+        else if (name == "size_ms")
+        {
+            const auto size = read_ms(field, "size_ms");
+            if (!size)
+                return tl::make_unexpected(size.error());
+            task.set_size_ms(*size);
+        }
+        else
+            return bad("task field '" + std::string(name) +
+                       "' is not known or not a text; a task has 'payload' and 'size_ms'");
+    }
+    return {};
+}
+
+expected<void> read_tasks(const json::value& value, std::uint32_t most_tasks, wire::Job& job)
+{
+    if (!value.is_array())
+        return bad("field 'tasks' is a list of tasks");
+    if (value.get_array().size() > most_tasks)
+        return tl::make_unexpected(
+            error{error_kind::refused,
+                  "at most " + std::to_string(most_tasks) + " tasks a job; split the job"});
+    for (const auto& item : value.get_array())
+        if (auto read = read_task(item, *job.add_tasks()); !read)
+            return read;
+    return {};
+}
+
+template <std::size_t I = 0>
+worker_answer answer_of_kind(std::size_t index, std::string_view text)
+{
+    constexpr std::size_t kinds = std::variant_size_v<worker_question>;
+    if constexpr (I >= kinds)
+        return error{error_kind::internal, "no such question"};
+    else
+    {
+        if (index != I)
+            return answer_of_kind<I + 1>(index, text);
+        // The answers stand in the order of the questions, after the error.
+        auto parsed = from_json<std::variant_alternative_t<I + 1, worker_answer>>(text);
+        // What came back cannot be read, but it may have taken effect.
+        if (!parsed)
+            return error{error_kind::timed_out, "unreadable answer: " + parsed.error().message};
+        return std::move(*parsed);
+    }
+}
+
+constexpr std::array<std::string_view, 5> question_paths{"/v1/leases", "/v1/starts", "/v1/results",
+                                                         "/v1/history", "/v1/stops"};
+
+template <std::size_t I = 0>
+expected<worker_question> question_of_path(std::string_view path, std::string_view text)
+{
+    if constexpr (I >= question_paths.size())
+        return tl::make_unexpected(error{error_kind::not_found, "no such path"});
+    else
+    {
+        if (path != question_paths[I])
+            return question_of_path<I + 1>(path, text);
+        auto parsed = from_json<std::variant_alternative_t<I, worker_question>>(text);
+        if (!parsed)
+            return tl::make_unexpected(parsed.error());
+        return worker_question{std::move(*parsed)};
+    }
+}
+
+} // namespace
+
+expected<wire::Job> parse_job(std::string_view text, std::uint32_t most_tasks)
+{
+    json::error_code code;
+    json::parse_options options;
+    options.max_depth = 8;
+    const auto value = json::parse(text, code, {}, options);
+    if (code)
+        return bad("the body is not JSON: " + code.message());
+    if (!value.is_object())
+        return bad("the body is an object with 'service' and 'tasks'");
+    wire::Job job;
+    for (const auto& [name, field] : value.get_object())
+    {
+        if (name == "service" && field.is_string())
+            job.set_service(std::string(field.get_string()));
+        else if (name == "deadline_ms")
+        {
+            const auto deadline = read_ms(field, "deadline_ms");
+            if (!deadline)
+                return tl::make_unexpected(deadline.error());
+            job.set_deadline_ms(*deadline);
+        }
+        else if (name == "tasks")
+        {
+            if (auto read = read_tasks(field, most_tasks, job); !read)
+                return tl::make_unexpected(read.error());
+        }
+        else
+            return bad("field '" + std::string(name) +
+                       "' is not known or has the wrong type; a job has 'service', "
+                       "'deadline_ms' and 'tasks'");
+    }
+    if (job.service().empty())
+        return bad("field 'service' is missing; name a service of the configuration");
+    if (job.tasks_size() == 0)
+        return bad("field 'tasks' is missing or empty; a job has at least one task");
+    return job;
+}
+
+std::string job_to_json(const wire::Job& job)
+{
+    json::array tasks;
+    for (const auto& task : job.tasks())
+        tasks.push_back({{"payload", task.payload()}, {"size_ms", task.size_ms()}});
+    json::object out{{"service", job.service()}, {"tasks", std::move(tasks)}};
+    if (job.deadline_ms() > 0)
+        out["deadline_ms"] = job.deadline_ms();
+    return json::serialize(out);
+}
+
+std::string answer_to_json(const std::string& key, const wire::Answer& answer)
+{
+    const auto kind = kind_of(answer);
+    json::object out{{"key", key},
+                     {"outcome", name_of(outcome_of(answer))},
+                     {"kind", name_of(kind)},
+                     {"remedy", row_of(kind).remedy}};
+    if (!answer.detail().empty())
+        out["detail"] = answer.detail();
+    if (answer.retry_after_ms() > 0)
+        out["retry_after_ms"] = answer.retry_after_ms();
+    json::array tasks;
+    const bool complete = outcome_of(answer) == outcome::complete;
+    for (const auto& task : answer.tasks())
+    {
+        json::object line{{"state", name_of(static_cast<run_state>(task.run_state()))}};
+        if (complete)
+            line["output"] = task.output();
+        tasks.push_back(std::move(line));
+    }
+    if (!tasks.empty())
+        out["tasks"] = std::move(tasks);
+    return json::serialize(out);
+}
+
+std::string to_base64(std::string_view bytes)
+{
+    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                                     reinterpret_cast<const unsigned char*>(bytes.data()),
+                                     static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(size));
+    return text;
+}
+
+expected<std::string> from_base64(std::string_view text)
+{
+    if (text.empty())
+        return std::string{};
+    std::string bytes(3 * (text.size() / 4) + 3, '\0');
+    const int size = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                                     reinterpret_cast<const unsigned char*>(text.data()),
+                                     static_cast<int>(text.size()));
+    if (size < 0 || text.size() % 4 != 0)
+        return tl::make_unexpected(error{error_kind::bad_input, "not base64"});
+    // The decoder counts the padding as zero bytes.
+    const std::size_t padding = text.ends_with("==") ? 2 : text.ends_with('=') ? 1 : 0;
+    bytes.resize(static_cast<std::size_t>(size) - padding);
+    return bytes;
+}
+
+std::string sha256_hex(std::string_view text)
+{
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+    SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(), digest.data());
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string hex;
+    for (const auto byte : digest)
+    {
+        hex.push_back(digits[byte >> 4U]);
+        hex.push_back(digits[byte & 0xFU]);
+    }
+    return hex;
+}
+
+std::string page_to_json(const log_page& page)
+{
+    json::array entries;
+    for (const auto& entry : page.entries)
+        entries.push_back({{"offset", entry.offset}, {"data", to_base64(entry.data)}});
+    return json::serialize(json::object{
+        {"first_kept", page.first_kept}, {"next", page.next}, {"entries", std::move(entries)}});
+}
+
+namespace
+{
+
+struct page_text
+{
+    struct line
+    {
+        std::uint64_t offset = 0;
+        std::string data;
+    };
+    std::uint64_t first_kept = 0;
+    std::uint64_t next = 0;
+    std::vector<line> entries;
+};
+BOOST_DESCRIBE_STRUCT(page_text::line, (), (offset, data))
+BOOST_DESCRIBE_STRUCT(page_text, (), (first_kept, next, entries))
+
+} // namespace
+
+expected<log_page> page_from_json(std::string_view text)
+{
+    const auto parsed = from_json<page_text>(text);
+    if (!parsed)
+        return tl::make_unexpected(parsed.error());
+    log_page page{parsed->first_kept, parsed->next, {}};
+    for (const auto& entry : parsed->entries)
+    {
+        auto data = from_base64(entry.data);
+        if (!data)
+            return tl::make_unexpected(data.error());
+        page.entries.push_back({entry.offset, std::move(*data)});
+    }
+    return page;
+}
+
+std::string_view path_of(const worker_question& question)
+{
+    return question_paths.at(question.index());
+}
+
+std::string question_to_json(const worker_question& question)
+{
+    return std::visit([](const auto& text) { return to_json(text); }, question);
+}
+
+expected<worker_question> question_from_json(std::string_view path, std::string_view text)
+{
+    return question_of_path(path, text);
+}
+
+std::string answer_to_json(const worker_answer& answer)
+{
+    return std::visit([](const auto& text) { return to_json(text); }, answer);
+}
+
+worker_answer worker_answer_from_json(std::size_t question_index, std::string_view text)
+{
+    return answer_of_kind(question_index, text);
+}
+
+} // namespace egretledge
--- /dev/null
+++ b/src/io/http_server.cpp
@@ -0,0 +1,244 @@
+// One session object a connection, on its own strand. A session reads one request, hands it on,
+// and reads the next one only after the answer was written: a caller cannot pile up work here.
+// Each read has a time limit, so a slow or silent caller holds nothing but a small object.
+//
+// Sessions share ownership of themselves while an operation is pending (the one place where Asio's
+// style asks for it), and share the settings and the handler with the server.
+
+#include "io/http_server.hpp"
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/ssl.hpp>
+
+namespace egretledge
+{
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = net::ip::tcp;
+using error_code = boost::system::error_code;
+
+struct http_server::shared
+{
+    http_server_settings settings;
+    http_handler handler;
+    std::optional<net::ssl::context> tls;
+    std::atomic<bool> stopping{false};
+    std::atomic<std::uint32_t> connections{0};
+};
+
+namespace
+{
+
+constexpr std::string_view bearer_prefix = "Bearer ";
+
+template <class Stream>
+class session : public std::enable_shared_from_this<session<Stream>>
+{
+public:
+    session(Stream stream, std::shared_ptr<http_server::shared> common)
+        : m_stream(std::move(stream)), m_common(std::move(common))
+    {
+        ++m_common->connections;
+    }
+    ~session() { --m_common->connections; }
+
+    void start()
+    {
+        if constexpr (std::is_same_v<Stream, beast::tcp_stream>)
+            read();
+        else
+        {
+            beast::get_lowest_layer(m_stream).expires_after(m_common->settings.slow_limit);
+            m_stream.async_handshake(net::ssl::stream_base::server,
+                                     [self = this->shared_from_this()](error_code code)
+                                     {
+                                         if (!code)
+                                             self->read();
+                                     });
+        }
+    }
+
+private:
+    void read()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(m_common->settings.header_limit);
+        m_parser->body_limit(m_common->settings.body_limit);
+        beast::get_lowest_layer(m_stream).expires_after(m_common->settings.idle_limit);
+        http::async_read_header(m_stream, m_buffer, *m_parser,
+                                [self = this->shared_from_this()](error_code code, std::size_t)
+                                { self->on_header(code); });
+    }
+
+    void on_header(error_code code)
+    {
+        if (code)
+            return refuse(code);
+        beast::get_lowest_layer(m_stream).expires_after(m_common->settings.slow_limit);
+        http::async_read(m_stream, m_buffer, *m_parser,
+                         [self = this->shared_from_this()](error_code failure, std::size_t)
+                         { self->on_request(failure); });
+    }
+
+    void refuse(error_code code)
+    {
+        m_keep = false;
+        if (code == http::error::body_limit)
+            return write({413, R"({"outcome":"rejected","kind":"too_large","remedy":"send less"})",
+                          "application/json", 0});
+        if (code == http::error::header_limit)
+            return write({431,
+                          R"({"outcome":"rejected","kind":"bad_request","remedy":"send less"})",
+                          "application/json", 0});
+        const bool malformed =
+            code.category() == http::make_error_code(http::error::bad_method).category() &&
+            code != http::error::end_of_stream && code != http::error::partial_message;
+        if (malformed)
+            return write({400,
+                          R"({"outcome":"rejected","kind":"bad_request","remedy":"send HTTP/1.1"})",
+                          "application/json", 0});
+        close();
+    }
+
+    void on_request(error_code code)
+    {
+        if (code)
+            return refuse(code);
+        beast::get_lowest_layer(m_stream).expires_never();
+        auto& message = m_parser->get();
+        m_keep = message.keep_alive();
+        http_request request;
+        request.method = std::string(message.method_string());
+        const std::string target(message.target());
+        const auto mark = target.find('?');
+        request.path = target.substr(0, mark);
+        request.query = mark == std::string::npos ? "" : target.substr(mark + 1);
+        request.body = std::move(message.body());
+        request.idempotency_key = std::string(message["Idempotency-Key"]);
+        const std::string_view authorization = message[http::field::authorization];
+        if (authorization.starts_with(bearer_prefix))
+            request.bearer = std::string(authorization.substr(bearer_prefix.size()));
+        m_common->handler(std::move(request),
+                          [self = this->shared_from_this()](http_response response)
+                          {
+                              net::post(self->m_stream.get_executor(),
+                                        [self, response = std::move(response)]() mutable
+                                        { self->write(std::move(response)); });
+                          });
+    }
+
+    void write(http_response response)
+    {
+        m_response = {};
+        m_response.version(11);
+        m_response.result(response.status);
+        m_response.set(http::field::content_type, response.content_type);
+        if (response.retry_after_s > 0)
+            m_response.set(http::field::retry_after, std::to_string(response.retry_after_s));
+        m_keep = m_keep && !m_common->stopping;
+        m_response.keep_alive(m_keep);
+        m_response.body() = std::move(response.body);
+        m_response.prepare_payload();
+        beast::get_lowest_layer(m_stream).expires_after(m_common->settings.slow_limit);
+        http::async_write(m_stream, m_response,
+                          [self = this->shared_from_this()](error_code code, std::size_t)
+                          {
+                              if (code || !self->m_keep)
+                                  return self->close();
+                              self->read();
+                          });
+    }
+
+    void close()
+    {
+        error_code ignored;
+        beast::get_lowest_layer(m_stream).socket().shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    Stream m_stream;
+    std::shared_ptr<http_server::shared> m_common;
+    beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    http::response<http::string_body> m_response;
+    bool m_keep = true;
+};
+
+} // namespace
+
+http_server::http_server(net::io_context& context, http_server_settings settings,
+                         http_handler handler)
+    : m_shared(std::make_shared<shared>()), m_acceptor(net::make_strand(context))
+{
+    m_shared->settings = std::move(settings);
+    m_shared->handler = std::move(handler);
+    const auto& about = m_shared->settings;
+    if (!about.certificate_file.empty())
+    {
+        m_shared->tls.emplace(net::ssl::context::tls_server);
+        m_shared->tls->use_certificate_chain_file(about.certificate_file);
+        m_shared->tls->use_private_key_file(about.key_file, net::ssl::context::pem);
+    }
+    const tcp::endpoint endpoint{net::ip::make_address(about.address), about.port};
+    m_acceptor.open(endpoint.protocol());
+    m_acceptor.set_option(net::socket_base::reuse_address(true));
+    m_acceptor.bind(endpoint);
+    m_acceptor.listen(net::socket_base::max_listen_connections);
+    accept();
+}
+
+http_server::~http_server() = default;
+
+std::uint16_t http_server::port() const
+{
+    return m_acceptor.local_endpoint().port();
+}
+
+std::uint32_t http_server::connections() const
+{
+    return m_shared->connections;
+}
+
+void http_server::stop()
+{
+    m_shared->stopping = true;
+    net::post(m_acceptor.get_executor(),
+              [this]
+              {
+                  error_code ignored;
+                  m_acceptor.close(ignored);
+              });
+}
+
+void http_server::accept()
+{
+    m_acceptor.async_accept(
+        net::make_strand(m_acceptor.get_executor()
+                             .target<net::strand<net::io_context::executor_type>>()
+                             ->get_inner_executor()),
+        [this](error_code code, tcp::socket socket)
+        {
+            if (code == net::error::operation_aborted || m_shared->stopping)
+                return;
+            if (!code && m_shared->connections < m_shared->settings.most_connections)
+            {
+                error_code ignored;
+                socket.set_option(tcp::no_delay(true), ignored);
+                beast::tcp_stream stream(std::move(socket));
+                if (m_shared->tls)
+                    std::make_shared<session<beast::ssl_stream<beast::tcp_stream>>>(
+                        beast::ssl_stream<beast::tcp_stream>(std::move(stream), *m_shared->tls),
+                        m_shared)
+                        ->start();
+                else
+                    std::make_shared<session<beast::tcp_stream>>(std::move(stream), m_shared)
+                        ->start();
+            }
+            accept();
+        });
+}
+
+} // namespace egretledge
--- /dev/null
+++ b/src/io/peer_bus.cpp
@@ -0,0 +1,233 @@
+// One thread owns all sockets: a ROUTER that receives, a DEALER for each peer that sends, a PULL
+// through which other threads hand over what to send, and the REP that answers ZeroMQ's question
+// whether a key is allowed (ZAP, RFC 27). Other threads share one PUSH socket under a lock, which
+// is held for the copy of one message.
+
+#include "io/peer_bus.hpp"
+#include <array>
+#include <mutex>
+#include <stdexcept>
+#include <zmq.hpp>
+#include <zmq_addon.hpp>
+
+namespace egretledge
+{
+
+namespace
+{
+
+constexpr const char* hand_over = "inproc://peer-bus-out";
+constexpr const char* zap_endpoint = "inproc://zeromq.zap.01";
+constexpr int high_water_mark = 20000;
+constexpr std::chrono::milliseconds poll_time{100};
+constexpr int reconnect_first_ms = 50;
+constexpr int reconnect_longest_ms = 1000;
+constexpr std::size_t key_bytes = 32;
+constexpr std::size_t key_text = 41;
+
+// The commands that other threads hand over, as the first part of a message.
+constexpr std::string_view command_send = "send";
+constexpr std::string_view command_address = "address";
+constexpr std::string_view command_stop = "stop";
+
+std::string text_of(const zmq::message_t& part)
+{
+    return {static_cast<const char*>(part.data()), part.size()};
+}
+
+} // namespace
+
+struct peer_bus::sockets
+{
+    zmq::context_t context{1};
+    std::optional<zmq::socket_t> zap;
+    zmq::socket_t receiver{context, zmq::socket_type::router};
+    zmq::socket_t out{context, zmq::socket_type::pull};
+    zmq::socket_t in{context, zmq::socket_type::push};
+    std::mutex in_guard;
+    std::map<std::string, std::string> addresses;
+    std::map<std::string, zmq::socket_t> senders;
+};
+
+peer_bus::peer_bus(peer_bus_settings settings, handler on_message)
+    : m_settings(std::move(settings)), m_handler(std::move(on_message)),
+      m_sockets(std::make_unique<sockets>())
+{
+    auto& s = *m_sockets;
+    try
+    {
+        s.out.bind(hand_over);
+        s.in.connect(hand_over);
+        s.in.set(zmq::sockopt::linger, 0);
+        s.receiver.set(zmq::sockopt::linger, 0);
+        s.receiver.set(zmq::sockopt::rcvhwm, high_water_mark);
+        if (!m_settings.secret_key.empty())
+        {
+            s.zap.emplace(s.context, zmq::socket_type::rep);
+            s.zap->bind(zap_endpoint);
+            s.receiver.set(zmq::sockopt::zap_domain, "peers");
+            s.receiver.set(zmq::sockopt::curve_server, true);
+            s.receiver.set(zmq::sockopt::curve_secretkey, m_settings.secret_key);
+        }
+        s.receiver.bind(m_settings.listen);
+        m_endpoint = s.receiver.get(zmq::sockopt::last_endpoint);
+    }
+    catch (const zmq::error_t& e)
+    {
+        throw std::runtime_error("cannot listen for peers at " + m_settings.listen + ": " +
+                                 e.what());
+    }
+    m_thread = std::thread([this] { run(); });
+}
+
+peer_bus::~peer_bus()
+{
+    {
+        const std::lock_guard lock(m_sockets->in_guard);
+        m_sockets->in.send(zmq::buffer(command_stop), zmq::send_flags::none);
+    }
+    m_thread.join();
+}
+
+void peer_bus::set_address(const std::string& host, const std::string& address)
+{
+    const std::lock_guard lock(m_sockets->in_guard);
+    zmq::multipart_t message;
+    message.addstr(std::string(command_address));
+    message.addstr(host);
+    message.addstr(address);
+    message.send(m_sockets->in);
+}
+
+void peer_bus::send(const std::string& host, const wire::PeerMessage& message)
+{
+    zmq::multipart_t parts;
+    parts.addstr(std::string(command_send));
+    parts.addstr(host);
+    parts.addstr(message.SerializeAsString());
+    const std::lock_guard lock(m_sockets->in_guard);
+    parts.send(m_sockets->in);
+}
+
+namespace
+{
+
+// Answers one ZAP request: allowed if the client's key is in the table; the user id is its host.
+bool answer_zap(zmq::socket_t& zap, const std::map<std::string, std::string>& keys)
+{
+    zmq::multipart_t request(zap);
+    constexpr std::size_t parts_with_key = 7;
+    std::string user;
+    if (request.size() >= parts_with_key && request[6].size() == key_bytes)
+    {
+        std::array<char, key_text> text{};
+        zmq_z85_encode(text.data(), static_cast<const std::uint8_t*>(request[6].data()), key_bytes);
+        for (const auto& [host, key] : keys)
+            if (key == text.data())
+                user = host;
+    }
+    zmq::multipart_t reply;
+    reply.addstr("1.0");
+    reply.addstr(request.size() > 1 ? text_of(request[1]) : "");
+    reply.addstr(user.empty() ? "400" : "200");
+    reply.addstr(user.empty() ? "unknown key" : "OK");
+    reply.addstr(user);
+    reply.addstr("");
+    reply.send(zap);
+    return !user.empty();
+}
+
+} // namespace
+
+void peer_bus::run()
+{
+    auto& s = *m_sockets;
+    const auto sender_to = [&](const std::string& host) -> zmq::socket_t*
+    {
+        const auto known = s.senders.find(host);
+        if (known != s.senders.end())
+            return &known->second;
+        const auto address = s.addresses.find(host);
+        const auto key = m_settings.peer_keys.find(host);
+        const bool secured = !m_settings.secret_key.empty();
+        if (address == s.addresses.end() || (secured && key == m_settings.peer_keys.end()))
+            return nullptr;
+        zmq::socket_t socket(s.context, zmq::socket_type::dealer);
+        socket.set(zmq::sockopt::linger, 0);
+        socket.set(zmq::sockopt::immediate, true);
+        socket.set(zmq::sockopt::sndhwm, high_water_mark);
+        socket.set(zmq::sockopt::reconnect_ivl, reconnect_first_ms);
+        socket.set(zmq::sockopt::reconnect_ivl_max, reconnect_longest_ms);
+        if (secured)
+        {
+            socket.set(zmq::sockopt::curve_serverkey, key->second);
+            socket.set(zmq::sockopt::curve_publickey, m_settings.public_key);
+            socket.set(zmq::sockopt::curve_secretkey, m_settings.secret_key);
+        }
+        socket.connect(address->second);
+        return &s.senders.emplace(host, std::move(socket)).first->second;
+    };
+    const auto receive = [&]
+    {
+        zmq::multipart_t message;
+        while (message.recv(s.receiver, ZMQ_DONTWAIT))
+        {
+            wire::PeerMessage text;
+            auto body = message.remove();
+            if (!text.ParseFromArray(body.data(), static_cast<int>(body.size())))
+            {
+                ++m_dropped;
+                continue;
+            }
+            if (!m_settings.secret_key.empty() && text.from().name() != body.gets("User-Id"))
+            {
+                ++m_refused;
+                continue;
+            }
+            m_handler(std::move(text));
+        }
+    };
+    // Returns false when the bus ends.
+    const auto command = [&]
+    {
+        zmq::multipart_t message;
+        while (message.recv(s.out, ZMQ_DONTWAIT))
+        {
+            const auto what = text_of(message[0]);
+            if (what == command_stop)
+                return false;
+            const auto host = text_of(message[1]);
+            if (what == command_address)
+            {
+                const auto address = text_of(message[2]);
+                if (s.addresses[host] != address)
+                    s.senders.erase(host);
+                s.addresses[host] = address;
+                continue;
+            }
+            auto* sender = sender_to(host);
+            const auto size = message[2].size();
+            if (sender == nullptr || !sender->send(message[2], zmq::send_flags::dontwait))
+                ++m_dropped;
+            else
+                m_bytes += size;
+        }
+        return true;
+    };
+    std::vector<zmq::pollitem_t> items{{s.receiver.handle(), 0, ZMQ_POLLIN, 0},
+                                       {s.out.handle(), 0, ZMQ_POLLIN, 0}};
+    if (s.zap)
+        items.push_back({s.zap->handle(), 0, ZMQ_POLLIN, 0});
+    for (;;)
+    {
+        zmq::poll(items, poll_time);
+        receive();
+        if (!command())
+            return;
+        if (s.zap && (items[2].revents & ZMQ_POLLIN) != 0 &&
+            !answer_zap(*s.zap, m_settings.peer_keys))
+            ++m_refused;
+    }
+}
+
+} // namespace egretledge
--- /dev/null
+++ b/src/io/platform_client.cpp
@@ -0,0 +1,118 @@
+// Each call is one HTTP exchange; the paths are in docs/PROTOCOLS.md. A question to a worker whose
+// answer did not come is reported as timed_out unless no byte of it was sent: the dispatcher must
+// then find out what happened.
+
+#include "io/platform_client.hpp"
+#include "io/codec.hpp"
+
+namespace egretledge
+{
+
+namespace
+{
+
+constexpr milliseconds request_time{1500};
+constexpr unsigned first_bad_status = 300;
+
+struct append_reply
+{
+    std::uint64_t offset = 0;
+};
+BOOST_DESCRIBE_STRUCT(append_reply, (), (offset))
+
+// The body of a good reply, or the error.
+expected<std::string> body_of(expected<http_reply> reply)
+{
+    if (!reply)
+        return tl::make_unexpected(reply.error());
+    if (reply->status >= first_bad_status)
+        return tl::make_unexpected(
+            error{error_kind::refused,
+                  "status " + std::to_string(reply->status) + ": " + reply->body.substr(0, 200)});
+    return std::move(reply->body);
+}
+
+} // namespace
+
+platform_client::platform_client(http_client& http, std::string address)
+    : m_http(http), m_address(std::move(address))
+{
+}
+
+void platform_client::append(const std::string& stream, std::string data,
+                             std::function<void(expected<std::uint64_t>)> done)
+{
+    http_call call;
+    call.address = m_address;
+    call.target = "/v1/streams/" + stream + "/records";
+    call.body = std::move(data);
+    call.content_type = "application/octet-stream";
+    call.timeout = request_time;
+    m_http.send(std::move(call),
+                [done = std::move(done)](expected<http_reply> reply)
+                {
+                    const auto body = body_of(std::move(reply));
+                    if (!body)
+                        return done(tl::make_unexpected(body.error()));
+                    done(
+                        from_json<append_reply>(*body).map([](const auto& r) { return r.offset; }));
+                });
+}
+
+void platform_client::read(const std::string& stream, std::uint64_t from, milliseconds wait,
+                           std::function<void(expected<log_page>)> done)
+{
+    http_call call;
+    call.address = m_address;
+    call.method = "GET";
+    call.target = "/v1/streams/" + stream + "/records?from=" + std::to_string(from) +
+                  "&wait_ms=" + std::to_string(wait.count());
+    call.timeout = request_time + wait;
+    m_http.send(std::move(call),
+                [done = std::move(done)](expected<http_reply> reply)
+                {
+                    const auto body = body_of(std::move(reply));
+                    if (!body)
+                        return done(tl::make_unexpected(body.error()));
+                    done(page_from_json(*body));
+                });
+}
+
+void platform_client::hosts(std::function<void(expected<host_listing>)> done)
+{
+    http_call call;
+    call.address = m_address;
+    call.method = "GET";
+    call.target = "/v1/hosts";
+    call.timeout = request_time;
+    m_http.send(std::move(call),
+                [done = std::move(done)](expected<http_reply> reply)
+                {
+                    const auto body = body_of(std::move(reply));
+                    if (!body)
+                        return done(tl::make_unexpected(body.error()));
+                    done(from_json<host_listing>(*body));
+                });
+}
+
+void platform_client::ask_worker(const std::string& address, const worker_question& question,
+                                 std::function<void(worker_answer)> done)
+{
+    http_call call;
+    call.address = address;
+    call.target = std::string(path_of(question));
+    call.body = question_to_json(question);
+    call.timeout = request_time;
+    if (const auto* poll = std::get_if<result_ask>(&question))
+        call.timeout += milliseconds{poll->wait_ms};
+    m_http.send(std::move(call),
+                [done = std::move(done), kind = question.index()](expected<http_reply> reply)
+                {
+                    const auto body = body_of(std::move(reply));
+                    if (!body)
+                        return done(body.error());
+                    done(worker_answer_from_json(kind, *body));
+                });
+}
+
+} // namespace egretledge
--- /dev/null
+++ b/src/io/standin_server.hpp
@@ -0,0 +1,81 @@
+#ifndef EGRETLEDGE_IO_STANDIN_SERVER_HPP
+#define EGRETLEDGE_IO_STANDIN_SERVER_HPP
+
+// The platform's stand-ins as HTTP servers, for the demo, tests with real processes and
+// measurements: the log with its host list, and workers. They keep everything in memory.
+
+#include "io/http_server.hpp"
+#include "standin/log_model.hpp"
+#include "standin/worker_model.hpp"
+#include <boost/asio/steady_timer.hpp>
+#include <mutex>
+
+namespace egretledge::standin
+{
+
+// Serves POST and GET /v1/streams/NAME/records, GET and PUT /v1/hosts, and PUT /v1/faults with
+// {"down": bool, "lose_answers": bool, "delay_ms": n}.
+class platform_server
+{
+public:
+    platform_server(boost::asio::io_context& context, http_server_settings settings);
+    ~platform_server();
+    std::uint16_t port() const { return m_server.port(); }
+    std::uint64_t appends();
+
+private:
+    struct waiting_read
+    {
+        std::string stream;
+        std::uint64_t from = 0;
+        std::chrono::steady_clock::time_point until;
+        http_responder respond;
+    };
+
+    void on_request(http_request request, http_responder respond);
+    void on_append(const std::string& stream, std::string data, const http_responder& respond);
+    void on_read(const std::string& stream, const std::string& query, http_responder respond);
+    void answer_waiting();
+    void watch();
+
+    std::mutex m_guard;
+    log_model m_log;
+    std::string m_hosts = R"({"hosts":[],"leaving_workers":[]})";
+    bool m_down = false;
+    bool m_lose_answers = false;
+    std::chrono::milliseconds m_delay{0};
+    std::vector<waiting_read> m_waiting;
+    boost::asio::io_context& m_context;
+    boost::asio::steady_timer m_timer;
+    http_server m_server;
+};
+
+// One worker; the paths are those of worker_protocol.hpp, and besides GET /v1/counts, which says
+// how many tasks were started and how many starts refused, and PUT /v1/faults with {"fail_all":
+// bool}.
+class worker_server
+{
+public:
+    worker_server(boost::asio::io_context& context, http_server_settings http,
+                  worker_settings settings);
+    ~worker_server();
+    std::uint16_t port() const { return m_server.port(); }
+    // Copies of what was started so far.
+    std::vector<started_task> started();
+
+private:
+    void on_request(http_request request, const http_responder& respond);
+    void answer(std::vector<worker_reply>& replies);
+    void schedule();
+
+    std::mutex m_guard;
+    worker_model m_model;
+    std::uint64_t m_next = 1;
+    std::map<std::uint64_t, http_responder> m_waiting;
+    boost::asio::steady_timer m_timer;
+    http_server m_server;
+};
+
+} // namespace egretledge::standin
+
+#endif
--- a/src/standin/log_model.hpp
+++ b/src/standin/log_model.hpp
@@ -62,8 +62,7 @@
     static void drop(stream& s, std::size_t count)
     {
         s.first += count;
-        s.records.erase(s.records.begin(),
-                        s.records.begin() + static_cast<std::ptrdiff_t>(count));
+        s.records.erase(s.records.begin(), s.records.begin() + static_cast<std::ptrdiff_t>(count));
     }
 
     std::size_t m_kept;
--- a/src/standin/worker_model.cpp
+++ b/src/standin/worker_model.cpp
@@ -98,8 +98,7 @@
         return start_verdict::accepted;
     const auto lease = m_leases.find(batch.lease);
     if (lease == m_leases.end() || now.steady >= lease->second.lapses ||
-        lease->second.holder != batch.holder ||
-        batch.worker_incarnation != m_settings.incarnation)
+        lease->second.holder != batch.holder || batch.worker_incarnation != m_settings.incarnation)
         return start_verdict::lease_lapsed;
     auto& holder = m_holders[lease->second.holder];
     if (order.sequence <= holder.highest)
@@ -152,13 +151,12 @@
             report(next, task_end::not_started, microseconds{0}, {});
             continue;
         }
-        const auto declared = static_cast<double>(microseconds{milliseconds{order.size_ms}}.count());
-        const auto length =
-            microseconds{static_cast<std::int64_t>(declared * m_settings.slowness)};
-        history_record record{order.shard,      order.sequence,   order.job,
-                              order.digest,     order.task,       order.task_count,
-                              order.made_ms,    order.deadline_ms, record_state::running,
-                              {}};
+        const auto declared =
+            static_cast<double>(microseconds{milliseconds{order.size_ms}}.count());
+        const auto length = microseconds{static_cast<std::int64_t>(declared * m_settings.slowness)};
+        history_record record{
+            order.shard,      order.sequence, order.job,         order.digest,          order.task,
+            order.task_count, order.made_ms,  order.deadline_ms, record_state::running, {}};
         m_records[{order.job, order.task}] = {next.holder, std::move(record)};
         m_started.push_back({order.job, order.task, now.steady, microseconds{-1}});
         m_running.push_back(
@@ -178,9 +176,7 @@
 {
     const auto& order = task.what.order;
     const bool failed = m_settings.fail_all || order.payload.starts_with("fail");
-    const auto end = task.stopped ? task_end::stopped
-                     : failed     ? task_end::failed
-                                  : task_end::done;
+    const auto end = task.stopped ? task_end::stopped : failed ? task_end::failed : task_end::done;
     const auto output = end == task_end::done ? "done:" + order.payload : std::string("failed");
     m_started[task.trace].ended = now.steady;
     const auto record = m_records.find({order.job, order.task});
@@ -212,7 +208,8 @@
                       [](const running_task& t) { return t.ends == microseconds::max(); });
         fill_slots(now);
     }
-    std::erase_if(m_polls, [&](const waiting_poll& poll) { return answer_poll(now, poll, replies); });
+    std::erase_if(m_polls,
+                  [&](const waiting_poll& poll) { return answer_poll(now, poll, replies); });
 }
 
 bool worker_model::answer_poll(instant now, const waiting_poll& poll,
@@ -301,11 +298,16 @@
                 task.stopped = true;
                 task.ends = now.steady;
             }
-        m_closed_records[close.job] = {close.shard,      0,
-                                       close.job,        close.digest,
-                                       0,                close.task_count,
-                                       close.made_ms,    close.deadline_ms,
-                                       record_state::closed, close.reason};
+        m_closed_records[close.job] = {close.shard,
+                                       0,
+                                       close.job,
+                                       close.digest,
+                                       0,
+                                       close.task_count,
+                                       close.made_ms,
+                                       close.deadline_ms,
+                                       record_state::closed,
+                                       close.reason};
     }
     reply.now_us = clock(now);
     return reply;
@@ -317,13 +319,18 @@
         return;
     m_next_forget = now.steady + forget_every;
     const auto oldest = (now.wall - m_settings.record_window).count();
-    std::erase_if(m_records, [&](const auto& entry)
-                  { return entry.second.second.made_ms < oldest &&
-                           entry.second.second.state != record_state::running; });
+    std::erase_if(m_records,
+                  [&](const auto& entry)
+                  {
+                      return entry.second.second.made_ms < oldest &&
+                             entry.second.second.state != record_state::running;
+                  });
     std::erase_if(m_closed_records,
                   [&](const auto& entry) { return entry.second.made_ms < oldest; });
-    std::erase_if(m_leases, [&](const auto& entry)
-                  { return entry.second.lapses + 2 * microseconds{m_settings.lease} < now.steady; });
+    std::erase_if(m_leases,
+                  [&](const auto& entry) {
+                      return entry.second.lapses + 2 * microseconds{m_settings.lease} < now.steady;
+                  });
 }
 
 microseconds worker_model::next_event() const
--- a/src/standin/worker_model.hpp
+++ b/src/standin/worker_model.hpp
@@ -2,8 +2,8 @@
 #define EGRETLEDGE_STANDIN_WORKER_MODEL_HPP
 
 // A worker as the platform gives it, for tests and the demo: it grants leases, runs tasks in
-// slots, refuses what is stale, and reports. It does no I/O and reads no clock, so that scenarios in
-// virtual time and the stand-in daemon drive the same model.
+// slots, refuses what is stale, and reports. It does no I/O and reads no clock, so that scenarios
+// in virtual time and the stand-in daemon drive the same model.
 
 #include "egretledge/worker_protocol.hpp"
 #include <deque>
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -106,9 +106,10 @@
 {
     BOOST_TEST(mentions(faults_with("{kind: service, name: s, repeatable: true, memory: 64GiB}"),
                         "no executor has"));
-    BOOST_TEST(mentions(faults_with("{kind: team, name: t, quota: 25, token_sha256: "
-                                    "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb}"),
-                        "exceeds the 24 slots"));
+    BOOST_TEST(
+        mentions(faults_with("{kind: team, name: t, quota: 25, token_sha256: "
+                             "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb}"),
+                 "exceeds the 24 slots"));
 }
 
 BOOST_AUTO_TEST_CASE(all_faults_come_in_one_run)
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -13,7 +13,10 @@
 namespace
 {
 
-instant at(std::int64_t ms) { return {milliseconds{ms}, milliseconds{1'800'000'000'000 + ms}}; }
+instant at(std::int64_t ms)
+{
+    return {milliseconds{ms}, milliseconds{1'800'000'000'000 + ms}};
+}
 
 } // namespace
 
@@ -41,8 +44,18 @@
     BOOST_REQUIRE(key);
     BOOST_TEST(key->data_centre == "jaro-depot");
     BOOST_TEST(key->made.count() == 1796351160123);
-    const char* bad[] = {"", "a", "a.1", "a.x.n", "a.-1.n", "a.1.", ".1.n", "a.1.n!", "a b.1.n",
-                         "a.1.n.m", "a.1234567890123456.n", "a..n"};
+    const char* bad[] = {"",
+                         "a",
+                         "a.1",
+                         "a.x.n",
+                         "a.-1.n",
+                         "a.1.",
+                         ".1.n",
+                         "a.1.n!",
+                         "a b.1.n",
+                         "a.1.n.m",
+                         "a.1234567890123456.n",
+                         "a..n"};
     for (const auto* text : bad)
         BOOST_TEST(!parse_job_key(text), text);
     BOOST_TEST(!parse_job_key(std::string(200, 'a') + ".1.n"));
@@ -216,7 +229,7 @@
     {
         std::vector<listed_host> listed;
         for (std::size_t i = 0; i < nodes.size(); ++i)
-            listed.push_back({"h" + std::to_string(i + 1), "dc", "", false});
+            listed.push_back({"h" + std::to_string(i + 1), "dc", "", "", false});
         for (const auto i : up)
         {
             nodes[i]->on_host_list(now, listed);
@@ -406,13 +419,13 @@
             {
                 // A publication lands between the reading of the state and its snapshot.
                 const auto snapshot = writer.snapshot().SerializeAsString();
-                records.push_back(publication("between", writer.revision(),
-                                              "{kind: region, name: between}"));
+                records.push_back(
+                    publication("between", writer.revision(), "{kind: region, name: between}"));
                 snapshot_at = records.size();
                 records.push_back(snapshot);
             }
-            const auto base = writer.revision() - std::min<std::uint64_t>(writer.revision(),
-                                                                          random() % 4);
+            const auto base =
+                writer.revision() - std::min<std::uint64_t>(writer.revision(), random() % 4);
             const auto name = "r" + std::to_string(random() % 5);
             records.push_back(
                 random() % 3 == 0
--- a/tests/standin_test.cpp
+++ b/tests/standin_test.cpp
@@ -11,7 +11,10 @@
 
 const host_ref holder{"jaro-1", 5};
 
-instant at(std::int64_t ms) { return {milliseconds{ms}, milliseconds{1000000 + ms}}; }
+instant at(std::int64_t ms)
+{
+    return {milliseconds{ms}, milliseconds{1000000 + ms}};
+}
 
 struct fixture
 {
