Tests of the HTTP, peer and command-line ports; servers may go while a connection comes in

Cause: the ports had no tests. A server that was destroyed while an accept was pending left a handler that used it.

Change: the listener is shared with its pending operation. Tests for wrong keys and tokens, another team's job, malformed, oversize and slow input, racing publications, a lost answer of the log.

--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -9,6 +9,7 @@
 #include "core/wire.hpp"
 #include "io/codec.hpp"
 #include "io/daemon.hpp"
+#include "io/dump_json.hpp"
 #include "io/http_client.hpp"
 #include <array>
 #include <boost/program_options.hpp>
@@ -172,7 +173,7 @@
     for (;;)
     {
         const auto body = get(c.given.platform, "/v1/hosts");
-        const auto listing = body ? from_json<host_listing>(*body)
+        const auto listing = body ? listing_from_json(*body)
                                   : expected<host_listing>(tl::make_unexpected(body.error()));
         std::size_t missing = listing ? 0 : 1;
         for (const auto& host : listing ? listing->hosts : std::vector<listed_host>{})
@@ -180,7 +181,7 @@
             if (std::find(reached.begin(), reached.end(), host.name) != reached.end())
                 continue;
             const auto state = get(host.http_address, "/statez", c.given.token);
-            const auto dump = state ? from_json<node_dump>(*state)
+            const auto dump = state ? dump_from_json(*state)
                                     : expected<node_dump>(tl::make_unexpected(state.error()));
             if (!dump || dump->revision < revision)
             {
@@ -374,7 +375,7 @@
     const auto body = get(c.given.platform, "/v1/hosts");
     if (!body)
         return complain(c, body.error());
-    const auto listing = from_json<host_listing>(*body);
+    const auto listing = listing_from_json(*body);
     if (!listing)
         return complain(c, listing.error());
     json::array lines;
@@ -386,7 +387,7 @@
     for (const auto& host : listing->hosts)
     {
         const auto state = get(host.http_address, "/statez", c.given.token);
-        const auto dump = state ? from_json<node_dump>(*state)
+        const auto dump = state ? dump_from_json(*state)
                                 : expected<node_dump>(tl::make_unexpected(state.error()));
         if (!dump)
         {
@@ -424,7 +425,7 @@
     const auto body = get(c.given.platform, "/v1/hosts");
     if (!body)
         return tl::make_unexpected(body.error());
-    const auto listing = from_json<host_listing>(*body);
+    const auto listing = listing_from_json(*body);
     if (!listing)
         return tl::make_unexpected(listing.error());
     for (const auto& host : listing->hosts)
--- a/src/io/daemon.cpp
+++ b/src/io/daemon.cpp
@@ -9,6 +9,7 @@
 #include "io/daemon.hpp"
 #include "core/wire.hpp"
 #include "io/codec.hpp"
+#include "io/dump_json.hpp"
 #include "io/logging.hpp"
 #include <boost/asio/post.hpp>
 #include <csignal>
@@ -363,7 +364,7 @@
                           if (path == "/metrics")
                               respond({ok, metrics(state), "text/plain; version=0.0.4", 0});
                           else
-                              respond({ok, to_json(state), "application/json", 0});
+                              respond({ok, dump_to_json(state), "application/json", 0});
                       });
         });
 }
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -169,9 +169,74 @@
 
 } // namespace
 
+// Accepts connections until it is closed. It is shared with its own pending operation, so that a
+// server may go while a connection comes in.
+class http_server::listener : public std::enable_shared_from_this<http_server::listener>
+{
+public:
+    listener(net::io_context& context, std::shared_ptr<shared> common)
+        : m_context(context), m_common(std::move(common)), m_acceptor(net::make_strand(context))
+    {
+        const auto& about = m_common->settings;
+        const tcp::endpoint endpoint{net::ip::make_address(about.address), about.port};
+        m_acceptor.open(endpoint.protocol());
+        m_acceptor.set_option(net::socket_base::reuse_address(true));
+        m_acceptor.bind(endpoint);
+        m_acceptor.listen(net::socket_base::max_listen_connections);
+        m_port = m_acceptor.local_endpoint().port();
+    }
+
+    std::uint16_t port() const { return m_port; }
+
+    void accept()
+    {
+        m_acceptor.async_accept(net::make_strand(m_context),
+                                [self = shared_from_this()](error_code code, tcp::socket socket)
+                                { self->on_accept(code, std::move(socket)); });
+    }
+
+    void close()
+    {
+        net::post(m_acceptor.get_executor(),
+                  [self = shared_from_this()]
+                  {
+                      error_code ignored;
+                      self->m_acceptor.close(ignored);
+                  });
+    }
+
+private:
+    void on_accept(error_code code, tcp::socket socket)
+    {
+        if (code == net::error::operation_aborted || m_common->stopping)
+            return;
+        if (!code && m_common->connections < m_common->settings.most_connections)
+            begin(std::move(socket));
+        accept();
+    }
+
+    void begin(tcp::socket socket)
+    {
+        error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        beast::tcp_stream stream(std::move(socket));
+        if (!m_common->tls)
+            return std::make_shared<session<beast::tcp_stream>>(std::move(stream), m_common)
+                ->start();
+        using secure = beast::ssl_stream<beast::tcp_stream>;
+        std::make_shared<session<secure>>(secure(std::move(stream), *m_common->tls), m_common)
+            ->start();
+    }
+
+    net::io_context& m_context;
+    std::shared_ptr<shared> m_common;
+    tcp::acceptor m_acceptor;
+    std::uint16_t m_port = 0;
+};
+
 http_server::http_server(net::io_context& context, http_server_settings settings,
                          http_handler handler)
-    : m_shared(std::make_shared<shared>()), m_acceptor(net::make_strand(context))
+    : m_shared(std::make_shared<shared>())
 {
     m_shared->settings = std::move(settings);
     m_shared->handler = std::move(handler);
@@ -182,19 +247,18 @@
         m_shared->tls->use_certificate_chain_file(about.certificate_file);
         m_shared->tls->use_private_key_file(about.key_file, net::ssl::context::pem);
     }
-    const tcp::endpoint endpoint{net::ip::make_address(about.address), about.port};
-    m_acceptor.open(endpoint.protocol());
-    m_acceptor.set_option(net::socket_base::reuse_address(true));
-    m_acceptor.bind(endpoint);
-    m_acceptor.listen(net::socket_base::max_listen_connections);
-    accept();
+    m_listener = std::make_shared<listener>(context, m_shared);
+    m_listener->accept();
 }
 
-http_server::~http_server() = default;
+http_server::~http_server()
+{
+    stop();
+}
 
 std::uint16_t http_server::port() const
 {
-    return m_acceptor.local_endpoint().port();
+    return m_listener->port();
 }
 
 std::uint32_t http_server::connections() const
@@ -205,40 +269,7 @@
 void http_server::stop()
 {
     m_shared->stopping = true;
-    net::post(m_acceptor.get_executor(),
-              [this]
-              {
-                  error_code ignored;
-                  m_acceptor.close(ignored);
-              });
-}
-
-void http_server::accept()
-{
-    m_acceptor.async_accept(
-        net::make_strand(m_acceptor.get_executor()
-                             .target<net::strand<net::io_context::executor_type>>()
-                             ->get_inner_executor()),
-        [this](error_code code, tcp::socket socket)
-        {
-            if (code == net::error::operation_aborted || m_shared->stopping)
-                return;
-            if (!code && m_shared->connections < m_shared->settings.most_connections)
-            {
-                error_code ignored;
-                socket.set_option(tcp::no_delay(true), ignored);
-                beast::tcp_stream stream(std::move(socket));
-                if (m_shared->tls)
-                    std::make_shared<session<beast::ssl_stream<beast::tcp_stream>>>(
-                        beast::ssl_stream<beast::tcp_stream>(std::move(stream), *m_shared->tls),
-                        m_shared)
-                        ->start();
-                else
-                    std::make_shared<session<beast::tcp_stream>>(std::move(stream), m_shared)
-                        ->start();
-            }
-            accept();
-        });
+    m_listener->close();
 }
 
 } // namespace egretledge
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -68,12 +68,11 @@
     std::uint32_t connections() const;
 
     struct shared;
+    class listener;
 
 private:
-    void accept();
-
     std::shared_ptr<shared> m_shared;
-    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::shared_ptr<listener> m_listener;
 };
 
 } // namespace egretledge
--- a/src/io/platform_client.cpp
+++ b/src/io/platform_client.cpp
@@ -4,6 +4,7 @@
 
 #include "io/platform_client.hpp"
 #include "io/codec.hpp"
+#include "io/dump_json.hpp"
 
 namespace egretledge
 {
@@ -91,7 +92,7 @@
                     const auto body = body_of(std::move(reply));
                     if (!body)
                         return done(tl::make_unexpected(body.error()));
-                    done(from_json<host_listing>(*body));
+                    done(listing_from_json(*body));
                 });
 }
 
--- /dev/null
+++ b/tests/io_test.cpp
@@ -0,0 +1,478 @@
+#define BOOST_TEST_MODULE io
+#include "core/wire.hpp"
+#include "ctl/commands.hpp"
+#include "io/codec.hpp"
+#include "io/daemon.hpp"
+#include "io/dump_json.hpp"
+#include "io/standin_server.hpp"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <condition_variable>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <zmq.hpp>
+
+using namespace egretledge;
+using namespace egretledge::standin;
+
+namespace
+{
+
+// Runs an io_context on one thread that may read the configuration.
+struct background
+{
+    boost::asio::io_context context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work{
+        context.get_executor()};
+    std::thread thread{[this]
+                       {
+                           const rcu_thread registered;
+                           context.run();
+                       }};
+    ~background()
+    {
+        work.reset();
+        context.stop();
+        thread.join();
+    }
+};
+
+http_call call_to(std::uint16_t port, const std::string& method, const std::string& target,
+                  const std::string& body = {}, const std::string& token = {},
+                  const std::string& key = {})
+{
+    http_call call;
+    call.address = "127.0.0.1:" + std::to_string(port);
+    call.method = method;
+    call.target = target;
+    call.body = body;
+    call.bearer = token;
+    call.idempotency_key = key;
+    call.timeout = milliseconds{10000};
+    return call;
+}
+
+std::string member(const std::string& body, const char* name)
+{
+    const auto value = boost::json::parse(body);
+    const auto* found = value.get_object().if_contains(name);
+    return found != nullptr && found->is_string() ? std::string(found->get_string()) : "";
+}
+
+// One entry daemon in this process with its platform and two workers, configured and ready.
+struct site
+{
+    background platform_thread;
+    platform_server platform{platform_thread.context, {}};
+    std::vector<std::unique_ptr<worker_server>> workers;
+    std::unique_ptr<entry_daemon> daemon;
+    std::thread daemon_thread;
+    int exit_code = -1;
+
+    site()
+    {
+        std::uint16_t first = 0;
+        // Two workers on neighbouring ports, so that one pool names both.
+        for (std::uint16_t port = 21000; first == 0 && port < 22000; port += 2)
+            try
+            {
+                workers.clear();
+                for (std::uint16_t i = 0; i < 2; ++i)
+                {
+                    http_server_settings http;
+                    http.port = static_cast<std::uint16_t>(port + i);
+                    workers.push_back(std::make_unique<worker_server>(platform_thread.context, http,
+                                                                      worker_settings{"w", 7, 4}));
+                }
+                first = port;
+            }
+            catch (const boost::system::system_error&)
+            {
+            }
+        auto settings = parse_settings(
+            "{name: a1, data_centre: dc, platform: '127.0.0.1:" + std::to_string(platform.port()) +
+            "', http_body_limit: 100000, most_tasks: 800, "
+            "operator_token_sha256: '" +
+            sha256_hex("op") + "'}");
+        BOOST_REQUIRE(settings);
+        daemon = std::make_unique<entry_daemon>(*settings);
+        const auto hosts = "{\"hosts\":[{\"name\":\"a1\",\"data_centre\":\"dc\","
+                           "\"peer_address\":\"" +
+                           daemon->peer_endpoint() + "\",\"http_address\":\"127.0.0.1:" +
+                           std::to_string(daemon->http_port()) +
+                           "\",\"leaving\":false}],\"leaving_workers\":[]}";
+        BOOST_REQUIRE(http_send(call_to(platform.port(), "PUT", "/v1/hosts", hosts)));
+        publish(first);
+        daemon_thread = std::thread([this] { exit_code = daemon->run(); });
+        wait_until_serving();
+    }
+    ~site()
+    {
+        daemon->request_stop();
+        daemon_thread.join();
+    }
+
+    void publish(std::uint16_t first_port)
+    {
+        const auto text =
+            "{kind: region, name: r}\n---\n{kind: data_centre, name: dc, region: r}\n"
+            "---\n{kind: executor_pool, name: p, data_centre: dc, address: "
+            "127.0.0.1, count: 2, slots: 4, memory: 1GiB, first_port: " +
+            std::to_string(first_port) +
+            "}\n---\n{kind: service, name: s, repeatable: false}\n"
+            "---\n{kind: team, name: one, quota: 4, token_sha256: " +
+            sha256_hex("token-one") +
+            "}\n---\n{kind: team, name: two, quota: 4, token_sha256: " + sha256_hex("token-two") +
+            "}\n";
+        wire::LogRecord record;
+        record.mutable_publication()->set_id("first");
+        const auto objects = parse_objects(text, "test");
+        BOOST_REQUIRE(objects);
+        for (const auto& object : *objects)
+        {
+            auto& line = *record.mutable_publication()->add_changed();
+            line.set_kind(object.kind);
+            line.set_name(object.name);
+            line.set_body(object.body);
+        }
+        BOOST_REQUIRE(http_send(call_to(platform.port(), "POST", "/v1/streams/config/records",
+                                        record.SerializeAsString())));
+    }
+
+    void wait_until_serving()
+    {
+        constexpr int tries = 500;
+        for (int i = 0; i < tries; ++i)
+        {
+            const auto reply = http_send(call_to(daemon->http_port(), "GET", "/statez", {}, "op"));
+            const auto dump = reply ? dump_from_json(reply->body)
+                                    : expected<node_dump>(tl::make_unexpected(reply.error()));
+            if (dump && dump->ready && !dump->shards.empty() &&
+                std::all_of(dump->shards.begin(), dump->shards.end(),
+                            [](const shard_line& s) { return s.serving; }))
+                return;
+            std::this_thread::sleep_for(std::chrono::milliseconds{20});
+        }
+        BOOST_FAIL("the daemon does not serve");
+    }
+
+    expected<http_reply> job(const std::string& key, const std::string& body,
+                             const std::string& token = "token-one")
+    {
+        return http_send(call_to(daemon->http_port(), "POST", "/v1/jobs", body, token, key));
+    }
+    std::string key(const std::string& nonce)
+    {
+        return "dc." + std::to_string(read_clocks().wall.count()) + "." + nonce;
+    }
+};
+
+const std::string small_job = R"({"service":"s","tasks":[{"payload":"x","size_ms":5}]})";
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(the_http_interface_end_to_end)
+{
+    site here;
+    const auto port = here.daemon->http_port();
+
+    const auto key = here.key("n1");
+    const auto first = here.job(key, small_job);
+    BOOST_REQUIRE(first);
+    BOOST_TEST(first->status == 200U);
+    BOOST_TEST(member(first->body, "outcome") == "complete");
+    const auto again = here.job(key, small_job);
+    BOOST_TEST(again->body == first->body);
+    std::size_t started = 0;
+    for (const auto& worker : here.workers)
+        started += worker->started().size();
+    BOOST_TEST(started == 1U);
+
+    // What is wrong is refused with its kind, and nothing starts.
+    const auto kind_of_job = [&](const std::string& body, const std::string& token = "token-one",
+                                 const std::string& job_key = {})
+    {
+        const auto reply = here.job(job_key.empty() ? here.key("n2") : job_key, body, token);
+        BOOST_REQUIRE(reply);
+        return member(reply->body, "kind");
+    };
+    BOOST_TEST(kind_of_job(small_job, "wrong") == "not_authorised");
+    BOOST_TEST(kind_of_job(small_job, "") == "not_authorised");
+    BOOST_TEST(kind_of_job("{") == "bad_request");
+    BOOST_TEST(kind_of_job("[]") == "bad_request");
+    BOOST_TEST(kind_of_job(R"({"service":"s","tasks":[]})") == "bad_request");
+    BOOST_TEST(kind_of_job(R"({"service":"s","tasks":[{"payload":1}]})") == "bad_request");
+    BOOST_TEST(kind_of_job(R"({"service":"s","priority":1,"tasks":[{"payload":"x"}]})") ==
+               "bad_request");
+    BOOST_TEST(kind_of_job(R"({"service":"none","tasks":[{"payload":"x"}]})") == "unknown_service");
+    BOOST_TEST(kind_of_job(small_job, "token-one", "no-key") == "bad_key");
+    BOOST_TEST(kind_of_job(small_job, "token-one", "elsewhere.1.n") == "wrong_data_centre");
+    BOOST_TEST(kind_of_job(small_job, "token-one", "dc.1.n") == "key_expired");
+    BOOST_TEST(kind_of_job(small_job, "token-one", "dc.999999999999999.n") == "key_ahead_of_clock");
+    BOOST_TEST(kind_of_job(std::string(200000, ' ')) == "too_large");
+    std::string wide = R"({"service":"s","tasks":[)";
+    for (int i = 0; i < 801; ++i)
+        wide += R"({"payload":"x"},)";
+    wide.back() = ']';
+    BOOST_TEST(kind_of_job(wide + "}") == "too_large");
+    started = 0;
+    for (const auto& worker : here.workers)
+        started += worker->started().size();
+    BOOST_TEST(started == 1U);
+
+    // Another team's job is not seen, and its key is another job.
+    const auto other = http_send(call_to(port, "GET", "/v1/jobs/" + key, {}, "token-two"));
+    BOOST_TEST(other->status == 404U);
+    const auto mine = http_send(call_to(port, "GET", "/v1/jobs/" + key, {}, "token-one"));
+    BOOST_TEST(mine->body == first->body);
+    const auto conflict = here.job(key, R"({"service":"s","tasks":[{"payload":"y","size_ms":5}]})");
+    BOOST_TEST(conflict->status == 409U);
+    const auto cancelled =
+        http_send(call_to(port, "DELETE", "/v1/jobs/" + here.key("n9"), {}, "token-one"));
+    BOOST_TEST(cancelled->status == 503U);
+    BOOST_TEST(member(cancelled->body, "outcome") == "not_run");
+
+    // Operators' paths.
+    BOOST_TEST(http_send(call_to(port, "GET", "/statez", {}, "wrong"))->status == 401U);
+    BOOST_TEST(http_send(call_to(port, "POST", "/drain", {}, "wrong"))->status == 401U);
+    BOOST_TEST(http_send(call_to(port, "GET", "/readyz"))->status == 200U);
+    BOOST_TEST(http_send(call_to(port, "GET", "/healthz"))->status == 200U);
+    const auto metrics = http_send(call_to(port, "GET", "/metrics"));
+    BOOST_TEST(metrics->body.find("egretledge_serving_shards 8") != std::string::npos);
+    BOOST_TEST(metrics->body.find("egretledge_events_total{kind=\"jobs_complete\"} 1") !=
+               std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_malformed_request_is_answered_and_a_slow_caller_is_cut)
+{
+    background here;
+    http_server_settings settings;
+    settings.slow_limit = std::chrono::milliseconds{200};
+    settings.idle_limit = std::chrono::milliseconds{200};
+    http_server server(here.context, settings,
+                       [](const http_request&, const http_responder& respond) {
+                           respond({200, "{}", "application/json", 0});
+                       });
+    boost::asio::io_context context;
+    const auto talk = [&](const std::string& text)
+    {
+        boost::asio::ip::tcp::socket socket(context);
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), server.port()});
+        boost::asio::write(socket, boost::asio::buffer(text));
+        std::string reply;
+        boost::system::error_code code;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(reply), code);
+        return reply;
+    };
+    BOOST_TEST(talk("nonsense\r\n\r\n").starts_with("HTTP/1.1 400"));
+    BOOST_TEST(talk("GET / HTTP/1.1\r\nX: " + std::string(10000, 'x') + "\r\n\r\n")
+                   .starts_with("HTTP/1.1 431"));
+    // Half a request: the connection ends by the time limit, without an answer.
+    BOOST_TEST(talk("POST /v1/jobs HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc").empty());
+    BOOST_TEST(talk("GET / HT").empty());
+}
+
+BOOST_AUTO_TEST_CASE(the_client_tells_what_was_never_sent_from_what_may_have_taken_effect)
+{
+    background here;
+    http_call call = call_to(1, "POST", "/");
+    const auto refused = http_send(call);
+    BOOST_REQUIRE(!refused);
+    BOOST_TEST((refused.error().kind == error_kind::unreachable));
+    http_server silent(here.context, {}, [](const http_request&, const http_responder&) {});
+    call = call_to(silent.port(), "POST", "/");
+    call.timeout = milliseconds{200};
+    const auto unanswered = http_send(call);
+    BOOST_REQUIRE(!unanswered);
+    BOOST_TEST((unanswered.error().kind == error_kind::timed_out));
+}
+
+BOOST_AUTO_TEST_CASE(worker_messages_survive_the_round_trip_and_bad_ones_are_errors)
+{
+    start_batch batch{{"h", 3}, 5, 9, {}};
+    start_order order;
+    order.sequence = 7;
+    order.owner_epoch = {4, 1};
+    order.job = {~0ULL, 1};
+    order.payload = "a\"b\\c\n\xc3\xa9";
+    batch.orders.push_back(order);
+    const auto back = question_from_json("/v1/starts", question_to_json(batch));
+    BOOST_REQUIRE(back);
+    const auto& copy = std::get<start_batch>(*back);
+    BOOST_TEST((copy.orders[0].job == order.job));
+    BOOST_TEST((copy.orders[0].owner_epoch == order.owner_epoch));
+    BOOST_TEST(copy.orders[0].payload == order.payload);
+    BOOST_TEST(!question_from_json("/v1/starts", R"({"lease":"x"})"));
+    BOOST_TEST(!question_from_json("/v1/starts", std::string(1000, '[')));
+    BOOST_TEST(!question_from_json("/v1/none", "{}"));
+    const auto broken = worker_answer_from_json(1, R"({"verdicts":["maybe"]})");
+    BOOST_TEST((std::get<error>(broken).kind == error_kind::timed_out));
+}
+
+BOOST_AUTO_TEST_CASE(log_pages_survive_the_round_trip)
+{
+    log_page page{3, 9, {{3, std::string("\0\xff", 2)}, {4, ""}, {5, "abc"}}};
+    const auto back = page_from_json(page_to_json(page));
+    BOOST_REQUIRE(back);
+    BOOST_TEST(back->first_kept == 3U);
+    BOOST_TEST(back->entries[0].data == page.entries[0].data);
+    BOOST_TEST(back->entries[2].data == "abc");
+    BOOST_TEST(!page_from_json(R"({"first_kept":0,"next":1,"entries":[{"offset":0,"data":"?"}]})"));
+}
+
+BOOST_AUTO_TEST_CASE(settings_report_every_fault_with_its_remedy)
+{
+    const auto bad = parse_settings("{name: a, http_port: 70000, owner_lease: 5, nonsense: 1, "
+                                    "curve_public: x, log_level: loud}");
+    BOOST_REQUIRE(!bad);
+    for (const auto* text : {"data_centre: missing", "platform: missing", "http_port: 0 to 65535",
+                             "owner_lease: a number of milliseconds", "nonsense: no such setting",
+                             "give all three", "log_level: debug"})
+        BOOST_TEST(bad.error().message.find(text) != std::string::npos, text);
+    const auto good = parse_settings("{name: a, data_centre: d, platform: '127.0.0.1:1'}");
+    BOOST_REQUIRE(good);
+    BOOST_TEST(describe(*good).find("owner_lease: \"2000ms\"") != std::string::npos);
+}
+
+namespace
+{
+
+struct key_pair
+{
+    std::array<char, 41> open{};
+    std::array<char, 41> secret{};
+    key_pair() { zmq_curve_keypair(open.data(), secret.data()); }
+};
+
+wire::PeerMessage message_from(const std::string& host)
+{
+    wire::PeerMessage message;
+    message.mutable_from()->set_name(host);
+    message.mutable_heartbeat()->set_sequence(1);
+    return message;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(peers_need_an_allowed_key_and_speak_only_for_themselves)
+{
+    const key_pair a;
+    const key_pair b;
+    const key_pair stranger;
+    std::mutex guard;
+    std::condition_variable arrived;
+    std::vector<std::string> seen;
+    peer_bus receiver({"tcp://127.0.0.1:0", a.open.data(), a.secret.data(), {{"b", b.open.data()}}},
+                      [&](const wire::PeerMessage& message)
+                      {
+                          const std::lock_guard lock(guard);
+                          seen.push_back(message.from().name());
+                          arrived.notify_all();
+                      });
+    const auto bus = [&](const key_pair& keys)
+    {
+        auto sender = std::make_unique<peer_bus>(
+            peer_bus_settings{
+                "tcp://127.0.0.1:0", keys.open.data(), keys.secret.data(), {{"a", a.open.data()}}},
+            [](const wire::PeerMessage&) {});
+        sender->set_address("a", receiver.endpoint());
+        return sender;
+    };
+    const auto good = bus(b);
+    const auto bad = bus(stranger);
+    // A message to a peer that is not connected yet is dropped, so it is said until it arrives.
+    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds{10};
+    bool heard = false;
+    while (!heard && std::chrono::steady_clock::now() < until)
+    {
+        bad->send("a", message_from("b"));
+        good->send("a", message_from("someone-else"));
+        good->send("a", message_from("b"));
+        std::unique_lock lock(guard);
+        heard =
+            arrived.wait_for(lock, std::chrono::milliseconds{50}, [&] { return !seen.empty(); });
+    }
+    BOOST_TEST(heard);
+    const std::lock_guard lock(guard);
+    for (const auto& name : seen)
+        BOOST_TEST(name == "b");
+    // The stranger never got in, and the false name was counted.
+    BOOST_TEST(bad->bytes_sent() == 0U);
+    BOOST_TEST(receiver.refused() > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(the_command_line_checks_and_explains)
+{
+    std::ostringstream out;
+    std::ostringstream err;
+    const auto run = [&](const std::vector<std::string>& words)
+    {
+        out.str("");
+        err.str("");
+        return ctl::run(words, out, err);
+    };
+    BOOST_TEST(run({"--help"}) == ctl::done);
+    BOOST_TEST(out.str().find("exit codes") != std::string::npos);
+    BOOST_TEST(run({"nonsense"}) == ctl::wrong_usage);
+    BOOST_TEST(run({"check"}) == ctl::wrong_usage);
+    BOOST_TEST(run({"check", std::string(EGRETLEDGE_SOURCE_DIR) + "/conf/sample"}) == ctl::done);
+    BOOST_TEST(run({"check", "/nowhere"}) == ctl::faulty_set);
+    BOOST_TEST(run({"status", "--platform", "127.0.0.1:1"}) == ctl::failed);
+    BOOST_TEST(err.str().find("unreachable") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(publishing_over_http_races_and_rolls_back)
+{
+    background here;
+    platform_server platform(here.context, {});
+    const auto address = "127.0.0.1:" + std::to_string(platform.port());
+    const auto directory =
+        std::filesystem::temp_directory_path() / ("egret-" + std::to_string(platform.port()));
+    std::filesystem::create_directories(directory);
+    const auto write = [&](const std::string& text)
+    { std::ofstream(directory / "a.yaml") << text; };
+    std::ostringstream out;
+    std::ostringstream err;
+    const auto run = [&](std::vector<std::string> words)
+    {
+        out.str("");
+        err.str("");
+        words.insert(words.end(), {"--platform", address, "--limit-ms", "8000"});
+        return ctl::run(words, out, err);
+    };
+    write("{kind: policy, name: p, retry_limit: 1}");
+    BOOST_TEST(run({"publish", directory}) == ctl::done);
+    write("{kind: policy, name: p, retry_limit: 2}");
+    BOOST_TEST(run({"publish", directory, "--dry-run"}) == ctl::done);
+    BOOST_TEST(out.str().find("+ policy p") != std::string::npos);
+    BOOST_TEST(run({"publish", directory}) == ctl::done);
+    write("{kind: policy, name: p, retry_limit: 3}");
+    BOOST_TEST(run({"publish", directory, "--base", "1"}) == ctl::clashed);
+    BOOST_TEST(err.str().find("policy p") != std::string::npos);
+    BOOST_TEST(run({"rollback", "1"}) == ctl::done);
+    BOOST_TEST(run({"history"}) == ctl::done);
+    BOOST_TEST(out.str().find("clashed") != std::string::npos);
+    // The append takes effect and its answer is lost: the id is found once the log answers.
+    const auto faults = [&](const std::string& text)
+    { return http_send(call_to(platform.port(), "PUT", "/v1/faults", text)); };
+    const auto before = platform.appends();
+    std::thread healer(
+        [&]
+        {
+            while (platform.appends() == before)
+                std::this_thread::sleep_for(std::chrono::milliseconds{5});
+            faults("{}");
+        });
+    std::thread breaker([&] { faults(R"({"delay_ms":300})"); });
+    breaker.join();
+    write("{kind: policy, name: p, retry_limit: 4}");
+    BOOST_TEST(run({"publish", directory}) == ctl::done);
+    healer.join();
+    BOOST_TEST(platform.appends() == before + 1);
+    write("{kind: policy, name: p, retry_limit: 99}");
+    BOOST_TEST(run({"publish", directory}) == ctl::faulty_set);
+    std::filesystem::remove_all(directory);
+}
--- /dev/null
+++ b/tests/process_test.cpp
@@ -0,0 +1,347 @@
+#define BOOST_TEST_MODULE process
+// Real entry daemons on loopback under load: one is killed, one is paused past its lease, one is
+// stopped gracefully, each is started again; the history of calls and starts is then checked.
+#include "core/wire.hpp"
+#include "harness/history.hpp"
+#include "io/codec.hpp"
+#include "io/daemon.hpp"
+#include "io/dump_json.hpp"
+#include "io/standin_server.hpp"
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <spawn.h>
+#include <sys/wait.h>
+
+using namespace egretledge;
+using namespace egretledge::standin;
+
+extern char** environ;
+
+namespace
+{
+
+constexpr std::uint16_t hosts = 3;
+constexpr std::uint16_t worker_count = 4;
+
+struct cluster
+{
+    boost::asio::io_context context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work{
+        context.get_executor()};
+    std::thread thread{[this] { context.run(); }};
+    platform_server platform{context, {}};
+    std::vector<std::unique_ptr<worker_server>> workers;
+    std::filesystem::path directory;
+    std::uint16_t first_port = 0;
+    std::vector<pid_t> pids{std::vector<pid_t>(hosts, 0)};
+    std::vector<std::uint64_t> incarnations{std::vector<std::uint64_t>(hosts, 0)};
+    std::chrono::steady_clock::time_point begun = std::chrono::steady_clock::now();
+    std::mutex guard;
+    harness::history history;
+    std::atomic<std::uint64_t> next_call{1};
+
+    cluster()
+    {
+        find_ports();
+        directory = std::filesystem::temp_directory_path() /
+                    ("egret-process-" + std::to_string(first_port));
+        std::filesystem::create_directories(directory);
+        publish();
+        list_hosts();
+        for (std::uint16_t i = 0; i < hosts; ++i)
+        {
+            std::ofstream(directory / (name(i) + ".yaml"))
+                << "{name: " << name(i)
+                << ", data_centre: dc, platform: '127.0.0.1:" << platform.port()
+                << "', http_port: " << http_port(i)
+                << ", peer_listen: 'tcp://127.0.0.1:" << peer_port(i)
+                << "', log_level: error, host_list_lag: 3000ms}";
+            start(i);
+        }
+        for (std::uint16_t i = 0; i < hosts; ++i)
+            wait_for("host " + name(i), [&] { return dump(i).ready; });
+        wait_for("all shards", [&] { return serving() == 8; });
+    }
+    ~cluster()
+    {
+        for (std::uint16_t i = 0; i < hosts; ++i)
+            if (pids[i] != 0)
+                end(i, SIGKILL);
+        work.reset();
+        context.stop();
+        thread.join();
+        std::filesystem::remove_all(directory);
+    }
+
+    // Ports in one row that are free now: workers, then HTTP, then peers.
+    void find_ports()
+    {
+        for (std::uint16_t port = 23000; first_port == 0 && port < 30000; port += 16)
+            try
+            {
+                workers.clear();
+                std::vector<std::unique_ptr<http_server>> probes;
+                for (std::uint16_t i = 0; i < worker_count + 2 * hosts; ++i)
+                {
+                    http_server_settings http;
+                    http.port = static_cast<std::uint16_t>(port + i);
+                    if (i < worker_count)
+                        workers.push_back(std::make_unique<worker_server>(
+                            context, http, worker_settings{"w", 1, 4}));
+                    else
+                        probes.push_back(std::make_unique<http_server>(
+                            context, http, [](const http_request&, const http_responder&) {}));
+                }
+                first_port = port;
+            }
+            catch (const boost::system::system_error&)
+            {
+            }
+        BOOST_REQUIRE(first_port != 0);
+    }
+    static std::string name(std::uint16_t i) { return "h" + std::to_string(i + 1); }
+    std::uint16_t http_port(std::uint16_t i) const { return first_port + worker_count + i; }
+    std::uint16_t peer_port(std::uint16_t i) const { return first_port + worker_count + hosts + i; }
+
+    void publish()
+    {
+        const auto text =
+            "{kind: region, name: r}\n---\n{kind: data_centre, name: dc, region: r}\n"
+            "---\n{kind: executor_pool, name: p, data_centre: dc, address: 127.0.0.1, count: 4, "
+            "slots: 4, memory: 1GiB, first_port: " +
+            std::to_string(first_port) +
+            "}\n---\n{kind: service, name: once, repeatable: false, deadline: 8s}\n"
+            "---\n{kind: team, name: t, quota: 8, token_sha256: " +
+            sha256_hex("token") + "}\n";
+        wire::LogRecord record;
+        record.mutable_publication()->set_id("first");
+        const auto objects = parse_objects(text, "test");
+        BOOST_REQUIRE(objects);
+        for (const auto& object : *objects)
+        {
+            auto& line = *record.mutable_publication()->add_changed();
+            line.set_kind(object.kind);
+            line.set_name(object.name);
+            line.set_body(object.body);
+        }
+        request(platform.port(), "POST", "/v1/streams/config/records", record.SerializeAsString());
+    }
+    void list_hosts()
+    {
+        host_listing listing;
+        for (std::uint16_t i = 0; i < hosts; ++i)
+            listing.hosts.push_back({name(i), "dc",
+                                     "tcp://127.0.0.1:" + std::to_string(peer_port(i)),
+                                     "127.0.0.1:" + std::to_string(http_port(i)), false});
+        request(platform.port(), "PUT", "/v1/hosts", listing_to_json(listing));
+    }
+
+    expected<http_reply> request(std::uint16_t port, const std::string& method,
+                                 const std::string& target, const std::string& body = {},
+                                 const std::string& key = {})
+    {
+        http_call call;
+        call.address = "127.0.0.1:" + std::to_string(port);
+        call.method = method;
+        call.target = target;
+        call.body = body;
+        call.bearer = "token";
+        call.idempotency_key = key;
+        call.timeout = milliseconds{15000};
+        return http_send(std::move(call));
+    }
+    node_dump dump(std::uint16_t i)
+    {
+        const auto reply = request(http_port(i), "GET", "/statez");
+        const auto parsed = reply ? dump_from_json(reply->body)
+                                  : expected<node_dump>(tl::make_unexpected(reply.error()));
+        return parsed ? *parsed : node_dump{};
+    }
+    std::size_t serving()
+    {
+        std::size_t count = 0;
+        for (std::uint16_t i = 0; i < hosts; ++i)
+            if (pids[i] != 0)
+                for (const auto& shard : dump(i).shards)
+                    count += shard.serving ? 1 : 0;
+        return count;
+    }
+    template <class Condition>
+    void wait_for(const std::string& what, Condition condition)
+    {
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds{30};
+        while (std::chrono::steady_clock::now() < until)
+        {
+            if (condition())
+                return;
+            std::this_thread::sleep_for(std::chrono::milliseconds{20});
+        }
+        BOOST_FAIL("waited too long for " + what);
+    }
+
+    void start(std::uint16_t i)
+    {
+        const std::string program = std::string(EGRETLEDGE_BINARY_DIR) + "/egretd";
+        const std::string settings = (directory / (name(i) + ".yaml")).string();
+        std::array<char*, 4> words{const_cast<char*>(program.c_str()),
+                                   const_cast<char*>("--settings"),
+                                   const_cast<char*>(settings.c_str()), nullptr};
+        BOOST_REQUIRE(
+            posix_spawn(&pids[i], program.c_str(), nullptr, nullptr, words.data(), environ) == 0);
+        ++incarnations[i];
+    }
+    // Ends a host's process and returns its exit code, or -1 if a signal ended it.
+    int end(std::uint16_t i, int signal)
+    {
+        ::kill(pids[i], signal);
+        int status = 0;
+        ::waitpid(pids[i], &status, 0);
+        const std::lock_guard lock(guard);
+        history.on_host_over(name(i), incarnations[i]);
+        pids[i] = 0;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+    microseconds now() const
+    {
+        return std::chrono::duration_cast<microseconds>(std::chrono::steady_clock::now() - begun);
+    }
+
+    // Submits a job to a host and notes the answer.
+    void submit(std::uint16_t host, const std::string& key, const wire::Job& job)
+    {
+        harness::recorded_call call;
+        call.number = next_call++;
+        call.host = name(host);
+        call.incarnation = incarnations[host];
+        call.team = "t";
+        call.key = key;
+        call.job = job;
+        call.at = now();
+        // A paused host answers when it goes on; the time limit of the request stands for all.
+        call.due = call.at + milliseconds{15000};
+        {
+            const std::lock_guard lock(guard);
+            history.add(call);
+        }
+        const auto reply = request(http_port(host), "POST", "/v1/jobs", job_to_json(job), key);
+        const std::lock_guard lock(guard);
+        auto* noted = history.find(call.number);
+        if (!reply)
+        {
+            noted->host_died = true; // the connection ended; the caller knows nothing
+            return;
+        }
+        history.on_answer(call.number, now(), parse_answer(reply->body));
+    }
+    static wire::Answer parse_answer(const std::string& body)
+    {
+        const auto value = boost::json::parse(body).as_object();
+        auto kind = answer_kind::ok;
+        boost::describe::enum_from_string(value.at("kind").as_string().c_str(), kind);
+        auto answer = make_answer(kind);
+        if (const auto* tasks = value.if_contains("tasks"))
+            for (const auto& task : tasks->as_array())
+            {
+                auto& line = *answer.add_tasks();
+                auto state = run_state::not_started;
+                boost::describe::enum_from_string(task.at("state").as_string().c_str(), state);
+                line.set_run_state(static_cast<std::uint32_t>(state));
+                if (const auto* output = task.as_object().if_contains("output"))
+                    line.set_output(std::string(output->as_string()));
+            }
+        return answer;
+    }
+
+    std::string verdict()
+    {
+        for (const auto& worker : workers)
+            for (const auto& start : worker->started())
+                history.add_start({"w", start.job, start.task, start.at, start.ended});
+        auto fault = history.check(now(), {});
+        if (!fault.empty())
+            fault += '\n' + history.describe(fault.substr(0, fault.find(':')));
+        return fault;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(kill_pause_and_stop_under_load_keep_every_promise)
+{
+    cluster c;
+    std::atomic<bool> loading{true};
+    std::vector<std::thread> callers;
+    for (int t = 0; t < 6; ++t)
+        callers.emplace_back(
+            [&, t]
+            {
+                std::mt19937_64 random(static_cast<std::uint64_t>(t));
+                std::string former;
+                wire::Job former_job;
+                for (int n = 0; loading; ++n)
+                {
+                    const bool again = !former.empty() && random() % 4 == 0;
+                    wire::Job job;
+                    job.set_service("once");
+                    for (std::uint64_t i = 0; i < 1 + random() % 5; ++i)
+                    {
+                        auto& task = *job.add_tasks();
+                        task.set_payload("p" + std::to_string(random() % 1000));
+                        task.set_size_ms(static_cast<std::uint32_t>(random() % 60));
+                    }
+                    const auto key = again ? former
+                                           : "dc." + std::to_string(read_clocks().wall.count()) +
+                                                 ".t" + std::to_string(t) + "n" + std::to_string(n);
+                    if (!again)
+                        former_job = job;
+                    former = key;
+                    c.submit(static_cast<std::uint16_t>(random() % hosts), key, former_job);
+                }
+            });
+    const auto served = [&]
+    {
+        const std::lock_guard lock(c.guard);
+        return c.history.calls().size();
+    };
+    const auto load_some = [&](std::size_t more)
+    {
+        const auto wanted = served() + more;
+        c.wait_for("load", [&] { return served() >= wanted; });
+    };
+    load_some(300);
+    BOOST_TEST(c.end(0, SIGKILL) == -1);
+    c.wait_for("takeover", [&] { return c.serving() == 8; });
+    load_some(200);
+    c.start(0);
+    c.wait_for("the restarted host", [&] { return c.dump(0).ready && c.serving() == 8; });
+    load_some(200);
+    // Paused until the others have taken all shards over, then resumed.
+    ::kill(c.pids[1], SIGSTOP);
+    c.wait_for("takeover of the paused host",
+               [&]
+               {
+                   std::size_t count = 0;
+                   for (const std::uint16_t i : {0, 2})
+                       for (const auto& shard : c.dump(i).shards)
+                           count += shard.serving ? 1 : 0;
+                   return count == 8;
+               });
+    load_some(100);
+    ::kill(c.pids[1], SIGCONT);
+    c.wait_for("the resumed host", [&] { return c.serving() == 8; });
+    load_some(200);
+    BOOST_TEST(c.end(2, SIGTERM) == 0);
+    c.wait_for("handover", [&] { return c.serving() == 8; });
+    load_some(200);
+    loading = false;
+    for (auto& caller : callers)
+        caller.join();
+    std::size_t complete = 0;
+    for (const auto& [number, call] : c.history.calls())
+        complete += call.answered && outcome_of(call.answer) == outcome::complete ? 1 : 0;
+    BOOST_TEST(complete * 10 > served() * 6);
+    BOOST_TEST_MESSAGE(served() << " calls, " << complete << " complete");
+    BOOST_TEST(c.verdict() == "");
+}
