--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,9 @@
 demo: all
 	sh scripts/demo.sh
 
+bench: all
+	build/egret-bench --all
+
 soak: all
 	build/egret-soak --first $(FIRST_SEED) --seeds $(SEEDS)
 
--- /dev/null
+++ b/bench/bench_main.cpp
@@ -0,0 +1,401 @@
+// egret-bench measures the shipping decision logic in virtual time: response time against the ideal
+// and wasted messages, for both users' deployments.
+//
+//     egret-bench --load 80 --seconds 20
+//     egret-bench --all                       every load, calm and under faults, as a table
+//
+// The ideal is one omniscient dispatcher with no delay: each task starts at the first instant at
+// which a slot of the data centre is free, in the order of arrival, with the same arrivals. The
+// baselines run the same arrivals through the same slots with the users' one-way delay: a random
+// worker, round robin, and the shorter queue of two random workers, each with a queue at the
+// worker. --json prints one line of JSON a row.
+
+#include "core/wire.hpp"
+#include "harness/world.hpp"
+#include <algorithm>
+#include <array>
+#include <boost/json.hpp>
+#include <boost/program_options.hpp>
+#include <cmath>
+#include <iomanip>
+#include <iostream>
+#include <queue>
+
+using namespace egretledge;
+using namespace egretledge::harness;
+
+namespace
+{
+
+struct arrival
+{
+    microseconds at{0};
+    std::size_t centre = 0;
+    std::vector<std::uint32_t> tasks; // run times in ms
+};
+
+struct deployment
+{
+    const char* name;
+    std::vector<std::string> centres;
+    microseconds delay;
+};
+
+constexpr std::uint32_t slots = 8;
+constexpr std::uint32_t workers_per_centre = 17; // 51 executors in three data centres
+constexpr microseconds warm_up = milliseconds{5000};
+constexpr milliseconds job_deadline{30000};
+
+// Jobs of 1 to 710 tasks of 50 ms to several seconds, with heavy tails, at `load` percent of the
+// capacity of every data centre.
+std::vector<arrival> make_arrivals(std::uint64_t seed, std::size_t centres, int load,
+                                   microseconds span)
+{
+    std::mt19937_64 random(seed);
+    std::vector<arrival> jobs;
+    const double capacity = slots * workers_per_centre; // task-seconds a second
+    for (std::size_t centre = 0; centre < centres; ++centre)
+    {
+        double work = 0; // in task-seconds
+        std::exponential_distribution<double> gap(1);
+        double at = 0;
+        const double span_s = static_cast<double>(span.count()) / 1e6;
+        while (at < span_s)
+        {
+            arrival job;
+            job.centre = centre;
+            const double width = std::uniform_real_distribution<double>(0, 1)(random);
+            const auto count = std::min(710.0, std::pow(1 - width, -1.0));
+            double job_work = 0;
+            for (int i = 0; i < static_cast<int>(count); ++i)
+            {
+                const double u = std::uniform_real_distribution<double>(0, 1)(random);
+                const double ms = std::min(5000.0, 50 * std::pow(1 - u, -1.0 / 1.5));
+                job.tasks.push_back(static_cast<std::uint32_t>(ms));
+                job_work += ms / 1000;
+            }
+            job.at = microseconds{static_cast<std::int64_t>(at * 1e6)};
+            work += job_work;
+            jobs.push_back(std::move(job));
+            // The next one comes when, on average, this one's share of the capacity is used.
+            at += gap(random) * job_work / (capacity * load / 100.0);
+        }
+    }
+    std::sort(jobs.begin(), jobs.end(),
+              [](const arrival& a, const arrival& b) { return a.at < b.at; });
+    return jobs;
+}
+
+// Each task starts when a slot is free, at once.
+std::vector<double> ideal_responses(const std::vector<arrival>& jobs, std::size_t centres)
+{
+    using heap = std::priority_queue<std::int64_t, std::vector<std::int64_t>, std::greater<>>;
+    std::vector<heap> free_slots(centres);
+    for (auto& centre : free_slots)
+        for (std::uint32_t i = 0; i < slots * workers_per_centre; ++i)
+            centre.push(0);
+    std::vector<double> responses;
+    for (const auto& job : jobs)
+    {
+        std::int64_t last = 0;
+        for (const auto ms : job.tasks)
+        {
+            auto& centre = free_slots[job.centre];
+            const auto start = std::max<std::int64_t>(centre.top(), job.at.count());
+            centre.pop();
+            centre.push(start + std::int64_t{ms} * 1000);
+            last = std::max<std::int64_t>(last, start + std::int64_t{ms} * 1000);
+        }
+        responses.push_back(static_cast<double>(last - job.at.count()));
+    }
+    return responses;
+}
+
+enum class baseline : std::uint8_t
+{
+    random_worker,
+    round_robin,
+    two_choices
+};
+BOOST_DESCRIBE_ENUM(baseline, random_worker, round_robin, two_choices)
+
+// Early binding: a task goes to a worker on arrival and waits in that worker's queue.
+std::vector<double> baseline_responses(const std::vector<arrival>& jobs, std::size_t centres,
+                                       baseline policy, microseconds delay, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    using heap = std::priority_queue<std::int64_t, std::vector<std::int64_t>, std::greater<>>;
+    std::vector<std::vector<heap>> workers(centres, std::vector<heap>(workers_per_centre));
+    for (auto& centre : workers)
+        for (auto& worker : centre)
+            for (std::uint32_t i = 0; i < slots; ++i)
+                worker.push(0);
+    std::size_t turn = 0;
+    std::vector<double> responses;
+    for (const auto& job : jobs)
+    {
+        std::int64_t last = 0;
+        const auto arrives = job.at.count() + delay.count();
+        for (const auto ms : job.tasks)
+        {
+            auto& centre = workers[job.centre];
+            std::size_t pick = random() % centre.size();
+            if (policy == baseline::round_robin)
+                pick = turn++ % centre.size();
+            if (policy == baseline::two_choices)
+            {
+                const auto other = random() % centre.size();
+                pick = centre[other].top() < centre[pick].top() ? other : pick;
+            }
+            const auto start = std::max<std::int64_t>(centre[pick].top(), arrives);
+            centre[pick].pop();
+            centre[pick].push(start + std::int64_t{ms} * 1000);
+            last = std::max<std::int64_t>(last, start + std::int64_t{ms} * 1000 + delay.count());
+        }
+        responses.push_back(static_cast<double>(last - job.at.count()));
+    }
+    return responses;
+}
+
+struct figures
+{
+    double mean = 0; // of response / ideal, over all complete jobs: mean / mean
+    double p50 = 0;  // of each job's ratio
+    double p99 = 0;
+    double complete = 0;
+    double not_run = 0;
+    double unknown = 0;
+    double wasted = 0;  // messages per 1,000 tasks
+    double goodput = 0; // task time done, as a share of capacity over the span
+};
+
+double quantile(std::vector<double>& values, double q)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(q * static_cast<double>(values.size() - 1))];
+}
+
+figures compare(const std::vector<double>& seen, const std::vector<double>& ideal)
+{
+    figures f;
+    std::vector<double> ratios;
+    double sum = 0;
+    double best = 0;
+    for (std::size_t i = 0; i < seen.size(); ++i)
+    {
+        if (seen[i] <= 0)
+            continue;
+        ratios.push_back(seen[i] / ideal[i]);
+        sum += seen[i];
+        best += ideal[i];
+    }
+    f.complete = static_cast<double>(ratios.size()) / static_cast<double>(seen.size());
+    f.mean = best > 0 ? sum / best : 0;
+    f.p50 = quantile(ratios, 0.5);
+    f.p99 = quantile(ratios, 0.99);
+    return f;
+}
+
+using fault_plan = void (*)(world&, microseconds);
+struct fault_row
+{
+    const char* name;
+    fault_plan plan;
+};
+
+const std::array faults{
+    fault_row{"calm", [](world&, microseconds) {}},
+    fault_row{"host killed",
+              [](world& w, microseconds at) { w.at(at, [&w] { w.kill("c1-h1"); }); }},
+    fault_row{"host replaced",
+              [](world& w, microseconds at)
+              {
+                  w.at(at, [&w] { w.stop("c1-h1"); });
+                  w.at(at + milliseconds{3000}, [&w] { w.start("c1-h1"); });
+              }},
+    fault_row{"log down",
+              [](world& w, microseconds at) { w.at(at, [&w] { w.set_log(log_state::down); }); }},
+    fault_row{"worker fails all", [](world& w, microseconds at)
+              {
+                  w.at(at,
+                       [&w]
+                       {
+                           w.set_worker("c1-pool-3", [](standin::worker_settings& s)
+                                        { s.fail_all = true; });
+                       });
+              }}};
+
+figures run_logic(const std::vector<arrival>& jobs, const deployment& where, microseconds span,
+                  std::uint64_t seed, const fault_row& fault)
+{
+    world_settings settings;
+    settings.seed = seed;
+    settings.slots = slots;
+    settings.shards = 8;
+    settings.least_delay = where.delay;
+    settings.constant_delay = true;
+    settings.tick = milliseconds{5};
+    settings.extra_config = "";
+    const std::array hosts_per_centre{3, 3, 2}; // 8 entry hosts
+    for (std::size_t c = 0; c < where.centres.size(); ++c)
+    {
+        centre_plan centre;
+        centre.name = "c" + std::to_string(c + 1);
+        for (int h = 1; h <= hosts_per_centre[c]; ++h)
+            centre.hosts.push_back(centre.name + "-h" + std::to_string(h));
+        centre.workers = workers_per_centre;
+        settings.centres.push_back(centre);
+    }
+    world w(settings);
+    w.run_until(warm_up);
+    const auto before = w.totals();
+    std::mt19937_64 random(seed + 1);
+    std::vector<std::uint64_t> numbers(jobs.size());
+    std::size_t tasks = 0;
+    for (std::size_t i = 0; i < jobs.size(); ++i)
+    {
+        tasks += jobs[i].tasks.size();
+        const auto& centre = settings.centres[jobs[i].centre];
+        const auto host = centre.hosts[random() % centre.hosts.size()];
+        w.at(warm_up + jobs[i].at,
+             [&, i, host]
+             {
+                 wire::Job job;
+                 job.set_service("repeat");
+                 job.set_deadline_ms(static_cast<std::uint32_t>(job_deadline.count()));
+                 for (const auto ms : jobs[i].tasks)
+                 {
+                     auto& task = *job.add_tasks();
+                     task.set_payload("p");
+                     task.set_size_ms(ms);
+                 }
+                 // The balancer sends nothing to a host that is gone.
+                 auto target = host;
+                 for (const auto& other : centre.hosts)
+                     if (!w.alive(target))
+                         target = other;
+                 numbers[i] = w.submit(
+                     target, w.make_key(centre.name, "n" + std::to_string(i)), std::move(job));
+             });
+    }
+    fault.plan(w, warm_up + span / 3);
+    w.run_until(warm_up + span + microseconds{job_deadline} + milliseconds{2000});
+    std::vector<double> seen(jobs.size(), 0);
+    figures f;
+    double done_ms = 0;
+    std::size_t not_run = 0;
+    std::size_t unknown = 0;
+    for (std::size_t i = 0; i < jobs.size(); ++i)
+    {
+        const auto* call = w.calls().find(numbers[i]);
+        const auto result = outcome_of(call->answer);
+        not_run += call->answered && result == outcome::not_run ? 1 : 0;
+        unknown += call->answered && result == outcome::unknown ? 1 : 0;
+        if (!call->answered || result != outcome::complete)
+            continue;
+        seen[i] = static_cast<double>((call->answered_at - call->at).count());
+        for (const auto ms : jobs[i].tasks)
+            done_ms += call->answered_at <= warm_up + span ? ms : 0;
+    }
+    f = compare(seen, ideal_responses(jobs, where.centres.size()));
+    f.not_run = static_cast<double>(not_run) / static_cast<double>(jobs.size());
+    f.unknown = static_cast<double>(unknown) / static_cast<double>(jobs.size());
+    f.wasted = static_cast<double>(w.totals().wasted() - before.wasted()) * 1000 /
+               static_cast<double>(tasks);
+    const double capacity_ms = static_cast<double>(span.count()) / 1000 * slots *
+                               workers_per_centre * static_cast<double>(where.centres.size());
+    f.goodput = done_ms / capacity_ms;
+    return f;
+}
+
+void print(const std::string& name, const char* place, int load, const char* fault,
+           const figures& f, bool as_json)
+{
+    if (as_json)
+    {
+        std::cout << boost::json::serialize(boost::json::object{{"policy", name},
+                                                                {"deployment", place},
+                                                                {"load", load},
+                                                                {"fault", fault},
+                                                                {"mean", f.mean},
+                                                                {"p50", f.p50},
+                                                                {"p99", f.p99},
+                                                                {"complete", f.complete},
+                                                                {"not_run", f.not_run},
+                                                                {"unknown", f.unknown},
+                                                                {"wasted_per_1000", f.wasted},
+                                                                {"goodput", f.goodput}})
+                  << '\n';
+        return;
+    }
+    std::cout << std::left << std::setw(15) << name << std::setw(15) << place << std::right
+              << std::setw(5) << load << "%  " << std::left << std::setw(17) << fault << std::right
+              << std::fixed << std::setprecision(3) << std::setw(8) << f.mean << std::setw(8)
+              << f.p50 << std::setw(8) << f.p99 << std::setw(10) << f.complete << std::setw(9)
+              << f.not_run << std::setw(9) << f.unknown << std::setw(9) << f.wasted << std::setw(9)
+              << f.goodput << '\n';
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    namespace po = boost::program_options;
+    int load = 80;
+    int seconds = 20;
+    std::uint64_t seed = 1;
+    po::options_description options("egret-bench");
+    options.add_options()("help", "print this")("load", po::value(&load), "percent of capacity")(
+        "seconds", po::value(&seconds), "span of arrivals")("seed", po::value(&seed), "seed")(
+        "all", "every load and fault")("json", "one JSON object a row");
+    po::variables_map given;
+    try
+    {
+        po::store(po::parse_command_line(argc, argv, options), given);
+        po::notify(given);
+    }
+    catch (const po::error& e)
+    {
+        std::cerr << e.what() << "; see --help\n";
+        return 2;
+    }
+    if (given.contains("help"))
+    {
+        std::cout << options;
+        return 0;
+    }
+    const bool as_json = given.contains("json");
+    const std::vector<deployment> places{
+        {"iloilo", {"iloilo-city", "jaro-depot", "oton-yard"}, microseconds{500}},
+        {"dar-es-salaam", {"kinondoni", "ilala", "temeke"}, microseconds{1000}}};
+    const microseconds span = std::chrono::seconds{seconds};
+    std::vector<int> loads{load};
+    if (given.contains("all"))
+        loads = {50, 80, 95, 120};
+    if (!as_json)
+        std::cout << "policy         deployment      load  fault               mean     p50     "
+                     "p99  complete  not_run  unknown  wasted  goodput\n";
+    for (const auto& place : places)
+        for (const auto percent : loads)
+        {
+            const auto jobs = make_arrivals(seed, place.centres.size(), percent, span);
+            const auto ideal = ideal_responses(jobs, place.centres.size());
+            for (const auto policy :
+                 {baseline::random_worker, baseline::round_robin, baseline::two_choices})
+                print(boost::describe::enum_to_string(policy, "?"), place.name, percent, "calm",
+                      compare(baseline_responses(jobs, place.centres.size(), policy, place.delay,
+                                                 seed),
+                              ideal),
+                      as_json);
+            for (const auto& fault : faults)
+            {
+                if (std::string_view(fault.name) != "calm" && percent != 80)
+                    continue;
+                print("egretledge", place.name, percent, fault.name,
+                      run_logic(jobs, place, span, seed, fault), as_json);
+            }
+        }
+    return 0;
+}
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -9,10 +9,12 @@
 #include "io/standin_server.hpp"
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 using namespace egretledge;
 using namespace egretledge::standin;
