--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -319,6 +319,9 @@
 void dispatcher::probe_load(instant now, action_list& out)
 {
     m_next_probe = now.steady + microseconds{m_settings.probe_every};
+    // Any result brings a figure and a free slot: a host that waits for one asks nothing.
+    if (m_outstanding_count > 0)
+        return;
     std::uint32_t asked = 0;
     const auto start = m_workers.empty() ? 0 : m_random() % m_workers.size();
     for (std::size_t i = 0; i < m_workers.size() && asked < probes_at_once; ++i)
@@ -326,7 +329,7 @@
         auto& worker = *m_workers[(start + i) % m_workers.size()];
         const bool stale = now.steady - worker.load_known >= microseconds{m_settings.probe_every};
         if (!worker.configured || worker.leaving || worker.lease == 0 || worker.lease_asked ||
-            worker.others == 0 || !stale)
+            worker.others == 0 || !worker.outstanding.empty() || !stale)
             continue;
         ask_lease(worker.index, now, out);
         ++m_counters.load_probes;
--- a/src/core/job_owner.cpp
+++ b/src/core/job_owner.cpp
@@ -36,8 +36,8 @@
 {
 
 constexpr milliseconds retry_soon{1000};
-// How far ahead of the clock the bound of refusals is kept. After a crash, keys up to the bound that
-// were not started are refused, so it is short.
+// How far ahead of the clock the bound of refusals is kept. After a crash, keys up to the bound
+// that were not started are refused, so it is short.
 constexpr milliseconds refusals_ahead{1000};
 constexpr milliseconds crowded_wait{1000};
 constexpr microseconds refusal_retry = milliseconds{5};
--- a/src/core/router.hpp
+++ b/src/core/router.hpp
@@ -25,7 +25,8 @@
     host_ref self;
     std::string data_centre;
     milliseconds hold_retry{20};
-    milliseconds resend_first{1000};
+    // Connections between hosts lose nothing while they stand, so this is seldom needed.
+    milliseconds resend_first{3000};
     // How long a call waits for a history to be collected before it is answered "unknown".
     milliseconds history_wait{1500};
     // Added to a call's deadline, so that the owner's own answer comes first.
