The policy's queue_ahead and retry_budget take effect

Cause: both were published and checked, and used by nothing. Change: a worker is sent queue_ahead tasks beyond its free slots, by the service's policy; retries stop at retry_budget of the starts.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -337,7 +337,7 @@
     }
 }
 
-std::uint32_t dispatcher::room_in(const worker_view& worker, instant now) const
+std::uint32_t dispatcher::room_in(const worker_view& worker, std::uint32_t ahead, instant now) const
 {
     if (!worker.configured || worker.leaving || worker.lease == 0 || now.steady >= worker.lapses ||
         now.steady < worker.start_after)
@@ -347,7 +347,7 @@
         return now.steady >= worker.test_after && own == 0 ? 1 : 0;
     if (worker.health == worker_health::on_test)
         return 0;
-    const std::uint32_t limit = worker.about.slots + 1;
+    const std::uint32_t limit = worker.about.slots + ahead;
     if (worker.health == worker_health::unproven && own >= unproven_room)
         return 0;
     const bool trusted = now.steady - worker.load_known < load_trusted;
@@ -363,12 +363,13 @@
     std::uint32_t best_room = 0;
     if (m_workers.empty())
         return best;
+    const auto ahead = static_cast<std::uint32_t>(m_config->policy_of(service).queue_ahead);
     const auto start = m_random() % m_workers.size();
     for (std::size_t i = 0; i < m_workers.size(); ++i)
     {
         const auto index = (start + i) % m_workers.size();
         const auto& worker = *m_workers[index];
-        const auto room = room_in(worker, now);
+        const auto room = room_in(worker, ahead, now);
         if (room > best_room && worker.about.fits(service))
         {
             best = static_cast<int>(index);
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -149,7 +149,8 @@
     bool fits_everywhere(const service_object& service) const;
     void learn(const outstanding_start& start, const result_line& line);
     void note_load(instant now, worker_view& worker, std::uint32_t all_tasks);
-    std::uint32_t room_in(const worker_view& worker, instant now) const;
+    // How many more tasks the worker may be sent; `ahead` beyond its free slots.
+    std::uint32_t room_in(const worker_view& worker, std::uint32_t ahead, instant now) const;
     const service_object* service_of(const std::string& name) const;
     double usable_slots() const;
 
--- a/src/core/job_owner.cpp
+++ b/src/core/job_owner.cpp
@@ -40,6 +40,7 @@
 // that were not started are refused, so it is short.
 constexpr milliseconds refusals_ahead{1000};
 constexpr milliseconds crowded_wait{1000};
+constexpr double retries_always_allowed = 100;
 constexpr microseconds refusal_retry = milliseconds{5};
 constexpr microseconds sweep_every = milliseconds{1000};
 constexpr microseconds close_timeout = milliseconds{500};
@@ -690,8 +691,14 @@
 bool job_owner::may_retry(const open_job& job, const open_task& task) const
 {
     const auto* service = service_of(job.service);
-    return service != nullptr && service->repeatable && !job.closing && !job.expired &&
-           task.attempts <= m_config->policy_of(*service).retry_limit;
+    if (service == nullptr || !service->repeatable || job.closing || job.expired)
+        return false;
+    const auto& policy = m_config->policy_of(*service);
+    // The budget keeps a widespread failure from doubling the load.
+    const double budget =
+        retries_always_allowed + policy.retry_budget * static_cast<double>(m_counters.starts_sent);
+    return task.attempts <= policy.retry_limit &&
+           static_cast<double>(m_counters.tasks_retried) < budget;
 }
 
 void job_owner::end_task(instant now, open_job& job, std::uint32_t index, run_state state,
