A test that a change is in force on fifty hosts within seconds

Cause: the promise had no figure. Change: 50 hosts in 5 data centres in virtual time; one change calm, one and a burst of 50 with the log slow by 500 ms and one host in ten restarting. Bounds from the issue: median 1 s, worst 3 s.

--- a/tests/harness_test.cpp
+++ b/tests/harness_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
 #include <mutex>
+#include <set>
 #include <thread>
 
 using namespace egretledge::harness;
@@ -66,6 +67,80 @@
     BOOST_TEST(seen > 0U);
 }
 
+namespace
+{
+
+// Publishes `count` changes at once to 50 hosts in five data centres, and returns for each host the
+// time from the first append to the last revision in force, sorted.
+std::vector<egretledge::microseconds> times_in_force(std::uint64_t count, bool faults)
+{
+    using egretledge::microseconds;
+    using egretledge::milliseconds;
+    world_settings settings;
+    for (int c = 1; c <= 5; ++c)
+    {
+        centre_plan centre;
+        centre.name = "dc" + std::to_string(c);
+        for (int h = 1; h <= 10; ++h)
+            centre.hosts.push_back(centre.name + "-h" + std::to_string(h));
+        centre.workers = 1;
+        settings.centres.push_back(centre);
+    }
+    settings.list_lag = milliseconds{0};
+    world w(settings);
+    w.run_for(milliseconds{4000});
+    std::set<std::string> restarted;
+    if (faults)
+    {
+        w.set_log_delay(milliseconds{500});
+        // One host in ten restarts while the changes spread.
+        for (int c = 1; c <= 5; ++c)
+        {
+            const auto host = "dc" + std::to_string(c) + "-h" + std::to_string(c);
+            w.kill(host);
+            w.start(host);
+            restarted.insert(host);
+        }
+    }
+    const auto begun = w.now();
+    for (std::uint64_t i = 0; i < count; ++i)
+        w.publish("{kind: policy, name: p" + std::to_string(i) + ", retry_limit: 1}", 1 + i,
+                  "burst" + std::to_string(i));
+    std::vector<microseconds> times;
+    std::set<std::string> reached;
+    while (reached.size() < 50 && w.now() - begun < microseconds{milliseconds{10000}})
+    {
+        w.run_for(milliseconds{5});
+        for (const auto& name : w.host_names())
+            if (w.host(name)->revision() >= 1 + count && reached.insert(name).second)
+                times.push_back(w.now() - begun);
+    }
+    BOOST_TEST(reached.size() == 50U);
+    return times;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_change_is_in_force_on_fifty_hosts_within_seconds)
+{
+    struct row
+    {
+        std::uint64_t changes;
+        bool faults;
+    };
+    for (const auto& r : {row{1, false}, row{1, true}, row{50, true}})
+    {
+        const auto times = times_in_force(r.changes, r.faults);
+        BOOST_REQUIRE_EQUAL(times.size(), 50U);
+        const auto median = times[25].count() / 1000;
+        const auto worst = times.back().count() / 1000;
+        BOOST_TEST_MESSAGE(r.changes << " changes, faults " << r.faults << ": median " << median
+                                     << " ms, worst " << worst << " ms");
+        BOOST_TEST(median < 1000);
+        BOOST_TEST(worst < 3000);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_schedule_is_repeated_exactly_by_its_seed)
 {
     const auto first = run_schedule(17);
