One way to build a publication, to read the hosts' list, and to note a call

Cause: the record of a publication was built in five places, the listing read in three, a recorded call in two. Change: make_publication() beside the follower; read_listing() and read_dump() in the command line; world::call(). Behaviour unchanged.

--- a/harness/world.cpp
+++ b/harness/world.cpp
@@ -94,18 +94,7 @@
 {
     const auto objects = parse_objects(yaml, id);
     EGRET_CHECK(objects.has_value(), "the world's own objects parse");
-    wire::LogRecord record;
-    auto& text = *record.mutable_publication();
-    text.set_id(id);
-    text.set_author("world");
-    text.set_base_revision(base);
-    for (const auto& object : *objects)
-    {
-        auto& line = *text.add_changed();
-        line.set_kind(object.kind);
-        line.set_name(object.name);
-        line.set_body(object.body);
-    }
+    const auto record = make_publication(id, "world", base, {*objects, {}});
     m_log.append("config", record.SerializeAsString());
 }
 
@@ -591,52 +580,44 @@
                             const std::string& team)
 {
     constexpr milliseconds service_deadline{8000};
-    const auto number = m_next_call++;
-    recorded_call call;
-    call.number = number;
-    call.host = host;
-    call.incarnation = m_hosts.at(host).incarnation;
-    call.team = team;
-    call.key = key;
-    call.job = job;
-    call.at = m_now;
     const auto time = job.deadline_ms() > 0 ? milliseconds{job.deadline_ms()} : service_deadline;
-    call.due = m_now + microseconds{time};
-    call.host_died = !m_hosts.at(host).logic;
-    m_history.add(std::move(call));
     wire::Call text;
     text.set_kind(wire::SUBMIT);
     text.set_team(team);
     text.set_key(key);
     *text.mutable_job() = std::move(job);
-    enter(host, m_hosts.at(host).incarnation,
-          [number, text](node& logic, instant now, action_list& out)
-          { logic.on_call(now, number, text, out); });
-    return number;
+    return call(host, std::move(text), time);
 }
 
 std::uint64_t world::ask(const std::string& host, const std::string& key, wire::CallKind kind,
                          const std::string& team)
 {
     constexpr milliseconds query_deadline{2000};
-    const auto number = m_next_call++;
-    recorded_call call;
-    call.number = number;
-    call.host = host;
-    call.incarnation = m_hosts.at(host).incarnation;
-    call.team = team;
-    call.key = key;
-    call.kind = kind;
-    call.at = m_now;
-    call.due = m_now + microseconds{query_deadline};
-    call.host_died = !m_hosts.at(host).logic;
-    m_history.add(std::move(call));
     wire::Call text;
     text.set_kind(kind);
     text.set_team(team);
     text.set_key(key);
-    enter(host, m_hosts.at(host).incarnation,
-          [number, text](node& logic, instant now, action_list& out)
+    return call(host, std::move(text), query_deadline);
+}
+
+std::uint64_t world::call(const std::string& host, wire::Call text, milliseconds time)
+{
+    const auto number = m_next_call++;
+    const auto& target = m_hosts.at(host);
+    recorded_call noted;
+    noted.number = number;
+    noted.host = host;
+    noted.incarnation = target.incarnation;
+    noted.team = text.team();
+    noted.key = text.key();
+    noted.kind = text.kind();
+    noted.job = text.job();
+    noted.at = m_now;
+    noted.due = m_now + microseconds{time};
+    noted.host_died = !target.logic;
+    m_history.add(std::move(noted));
+    enter(host, target.incarnation,
+          [number, text = std::move(text)](node& logic, instant now, action_list& out)
           { logic.on_call(now, number, text, out); });
     return number;
 }
--- a/harness/world.hpp
+++ b/harness/world.hpp
@@ -161,6 +161,7 @@
         standin::worker_settings settings;
     };
 
+    std::uint64_t call(const std::string& host, wire::Call text, milliseconds time);
     void deliver(microseconds delay, std::function<void()> what);
     // Runs `what` at the host, now or when it is resumed; dropped if that process is over.
     void enter(const std::string& host, std::uint64_t incarnation,
--- a/src/core/config_follower.cpp
+++ b/src/core/config_follower.cpp
@@ -35,6 +35,30 @@
 
 } // namespace
 
+wire::LogRecord make_publication(const std::string& id, const std::string& author,
+                                 std::uint64_t base, const config_difference& change)
+{
+    wire::LogRecord record;
+    auto& text = *record.mutable_publication();
+    text.set_id(id);
+    text.set_author(author);
+    text.set_base_revision(base);
+    for (const auto& object : change.changed)
+    {
+        auto& line = *text.add_changed();
+        line.set_kind(object.kind);
+        line.set_name(object.name);
+        line.set_body(object.body);
+    }
+    for (const auto& object : change.removed)
+    {
+        auto& line = *text.add_removed();
+        line.set_kind(object.kind);
+        line.set_name(object.name);
+    }
+    return record;
+}
+
 void config_follower::note(judged_publication verdict)
 {
     m_history.push_back(std::move(verdict));
--- a/src/core/config_follower.hpp
+++ b/src/core/config_follower.hpp
@@ -34,6 +34,10 @@
     std::string detail;
 };
 
+// The record of a publication that makes `change` against `base`.
+wire::LogRecord make_publication(const std::string& id, const std::string& author,
+                                 std::uint64_t base, const config_difference& change);
+
 class config_follower
 {
 public:
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -157,6 +157,22 @@
     return done;
 }
 
+expected<host_listing> read_listing(const console& c)
+{
+    const auto body = get(c.given.platform, "/v1/hosts");
+    if (!body)
+        return tl::make_unexpected(body.error());
+    return listing_from_json(*body);
+}
+
+expected<node_dump> read_dump(const console& c, const listed_host& host)
+{
+    const auto body = get(host.http_address, "/statez", c.given.token);
+    if (!body)
+        return tl::make_unexpected(body.error());
+    return dump_from_json(*body);
+}
+
 void print_difference(const console& c, const config_difference& change)
 {
     for (const auto& object : change.changed)
@@ -172,17 +188,13 @@
     std::vector<std::string> reached;
     for (;;)
     {
-        const auto body = get(c.given.platform, "/v1/hosts");
-        const auto listing = body ? listing_from_json(*body)
-                                  : expected<host_listing>(tl::make_unexpected(body.error()));
+        const auto listing = read_listing(c);
         std::size_t missing = listing ? 0 : 1;
         for (const auto& host : listing ? listing->hosts : std::vector<listed_host>{})
         {
             if (std::find(reached.begin(), reached.end(), host.name) != reached.end())
                 continue;
-            const auto state = get(host.http_address, "/statez", c.given.token);
-            const auto dump = state ? dump_from_json(*state)
-                                    : expected<node_dump>(tl::make_unexpected(state.error()));
+            const auto dump = read_dump(c, host);
             if (!dump || dump->revision < revision)
             {
                 ++missing;
@@ -245,25 +257,7 @@
 
 wire::LogRecord to_record(const console& c, const config_difference& change, std::uint64_t base)
 {
-    wire::LogRecord record;
-    auto& text = *record.mutable_publication();
-    text.set_id(random_id());
-    text.set_author(c.given.author);
-    text.set_base_revision(base);
-    for (const auto& object : change.changed)
-    {
-        auto& line = *text.add_changed();
-        line.set_kind(object.kind);
-        line.set_name(object.name);
-        line.set_body(object.body);
-    }
-    for (const auto& object : change.removed)
-    {
-        auto& line = *text.add_removed();
-        line.set_kind(object.kind);
-        line.set_name(object.name);
-    }
-    return record;
+    return make_publication(random_id(), c.given.author, base, change);
 }
 
 int publish(const console& c)
@@ -372,10 +366,7 @@
 
 int status(const console& c)
 {
-    const auto body = get(c.given.platform, "/v1/hosts");
-    if (!body)
-        return complain(c, body.error());
-    const auto listing = listing_from_json(*body);
+    const auto listing = read_listing(c);
     if (!listing)
         return complain(c, listing.error());
     json::array lines;
@@ -386,9 +377,7 @@
               << "leaving\n";
     for (const auto& host : listing->hosts)
     {
-        const auto state = get(host.http_address, "/statez", c.given.token);
-        const auto dump = state ? dump_from_json(*state)
-                                : expected<node_dump>(tl::make_unexpected(state.error()));
+        const auto dump = read_dump(c, host);
         if (!dump)
         {
             lines.push_back({{"host", host.name}, {"error", dump.error().message}});
@@ -422,10 +411,7 @@
 {
     if (name.find(':') != std::string::npos)
         return name;
-    const auto body = get(c.given.platform, "/v1/hosts");
-    if (!body)
-        return tl::make_unexpected(body.error());
-    const auto listing = listing_from_json(*body);
+    const auto listing = read_listing(c);
     if (!listing)
         return tl::make_unexpected(listing.error());
     for (const auto& host : listing->hosts)
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -378,19 +378,7 @@
 
 std::string publication(const std::string& id, std::uint64_t base, const std::string& yaml)
 {
-    wire::LogRecord record;
-    auto& text = *record.mutable_publication();
-    text.set_id(id);
-    text.set_base_revision(base);
-    const auto objects = parse_objects(yaml, id);
-    for (const auto& object : *objects)
-    {
-        auto& line = *text.add_changed();
-        line.set_kind(object.kind);
-        line.set_name(object.name);
-        line.set_body(object.body);
-    }
-    return record.SerializeAsString();
+    return make_publication(id, "test", base, {*parse_objects(yaml, id), {}}).SerializeAsString();
 }
 
 log_page page_of(const std::vector<std::string>& records, std::uint64_t first)
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -127,17 +127,9 @@
             sha256_hex("token-one") +
             "}\n---\n{kind: team, name: two, quota: 4, token_sha256: " + sha256_hex("token-two") +
             "}\n";
-        wire::LogRecord record;
-        record.mutable_publication()->set_id("first");
         const auto objects = parse_objects(text, "test");
         BOOST_REQUIRE(objects);
-        for (const auto& object : *objects)
-        {
-            auto& line = *record.mutable_publication()->add_changed();
-            line.set_kind(object.kind);
-            line.set_name(object.name);
-            line.set_body(object.body);
-        }
+        const auto record = make_publication("first", "test", 0, {*objects, {}});
         BOOST_REQUIRE(http_send(call_to(platform.port(), "POST", "/v1/streams/config/records",
                                         record.SerializeAsString())));
     }
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -117,17 +117,9 @@
             "}\n---\n{kind: service, name: once, repeatable: false, deadline: 8s}\n"
             "---\n{kind: team, name: t, quota: 8, token_sha256: " +
             sha256_hex("token") + "}\n";
-        wire::LogRecord record;
-        record.mutable_publication()->set_id("first");
         const auto objects = parse_objects(text, "test");
         BOOST_REQUIRE(objects);
-        for (const auto& object : *objects)
-        {
-            auto& line = *record.mutable_publication()->add_changed();
-            line.set_kind(object.kind);
-            line.set_name(object.name);
-            line.set_body(object.body);
-        }
+        const auto record = make_publication("first", "test", 0, {*objects, {}});
         request(platform.port(), "POST", "/v1/streams/config/records", record.SerializeAsString());
     }
     void list_hosts()
