The rejected ways are measured; a test for stray, crossed and doubled results

Cause: the design note gave the costs of two rejected ways as arithmetic, and that a worker's stray answer goes into no job was shown by random schedules only. Change: two more baselines in the bench, with an append or a peer's copy before the first start; a test of the dispatcher with a doubled result and three crossed ones.

--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -115,9 +115,15 @@
 {
     random_worker,
     round_robin,
-    two_choices
+    two_choices,
+    intent_in_log, // two choices, after a record of the job is in the platform's log
+    copy_to_peer   // two choices, after a peer has acknowledged a copy of the job
 };
-BOOST_DESCRIBE_ENUM(baseline, random_worker, round_robin, two_choices)
+BOOST_DESCRIBE_ENUM(baseline, random_worker, round_robin, two_choices, intent_in_log, copy_to_peer)
+
+// A synced write of the log takes several milliseconds; half of a batch's span is waited besides.
+constexpr microseconds log_append = milliseconds{5};
+constexpr microseconds log_batch_wait = milliseconds{5};
 
 // Early binding: a task goes to a worker on arrival and waits in that worker's queue.
 std::vector<double> baseline_responses(const std::vector<arrival>& jobs, std::size_t centres,
@@ -135,14 +141,19 @@
     for (const auto& job : jobs)
     {
         std::int64_t last = 0;
-        const auto arrives = job.at.count() + delay.count();
+        auto before = microseconds{0};
+        if (policy == baseline::intent_in_log)
+            before = log_append + log_batch_wait + 2 * delay;
+        if (policy == baseline::copy_to_peer)
+            before = 2 * delay;
+        const auto arrives = job.at.count() + (before + delay).count();
         for (const auto ms : job.tasks)
         {
             auto& centre = workers[job.centre];
             std::size_t pick = random() % centre.size();
             if (policy == baseline::round_robin)
                 pick = turn++ % centre.size();
-            if (policy == baseline::two_choices)
+            if (policy >= baseline::two_choices)
             {
                 const auto other = random() % centre.size();
                 pick = centre[other].top() < centre[pick].top() ? other : pick;
@@ -398,7 +409,8 @@
             const auto jobs = make_arrivals(seed, place.centres.size(), percent, span);
             const auto ideal = ideal_responses(jobs, place.centres.size());
             for (const auto policy :
-                 {baseline::random_worker, baseline::round_robin, baseline::two_choices})
+                 {baseline::random_worker, baseline::round_robin, baseline::two_choices,
+                  baseline::intent_in_log, baseline::copy_to_peer})
                 print(boost::describe::enum_to_string(policy, "?"), place.name, percent, "calm",
                       compare(
                           baseline_responses(jobs, place.centres.size(), policy, place.delay, seed),
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE core
 #include "core/config_follower.hpp"
+#include "core/dispatcher.hpp"
 #include "core/job_memory.hpp"
 #include "core/ownership.hpp"
 #include "core/task_queue.hpp"
@@ -452,3 +453,85 @@
     BOOST_TEST((reader.history()[2].verdict == publication_verdict::not_valid));
     BOOST_TEST(reader.history()[2].detail.find("no region is named") != std::string::npos);
 }
+
+namespace
+{
+
+class open_gate : public start_gate
+{
+public:
+    bool permit(std::uint32_t, instant now, start_permit& granted) const override
+    {
+        granted = {{1, 0}, now.steady + milliseconds{2000}};
+        return true;
+    }
+};
+
+configuration_ptr one_worker_config()
+{
+    const auto objects = parse_objects(
+        "{kind: region, name: r}\n---\n{kind: data_centre, name: dc, region: r}\n---\n"
+        "{kind: executor_pool, name: p, data_centre: dc, address: 127.0.0.1, first_port: 1, "
+        "memory: 1GiB}\n---\n{kind: service, name: s, repeatable: false}",
+        "test");
+    return std::make_shared<const configuration>(*build_configuration(*objects, 1));
+}
+
+// The request number of the first question of this kind among the actions; 0 if there is none.
+template <class Question>
+std::uint64_t request_of(const action_list& out)
+{
+    for (const auto& action : out)
+        if (const auto* ask = std::get_if<actions::ask_worker>(&action))
+            if (std::holds_alternative<Question>(ask->question))
+                return ask->request;
+    return 0;
+}
+
+} // namespace
+
+// A worker's answer that is doubled, of another job, of another task or of no start of ours is put
+// into no job, and each is counted as a wasted message.
+BOOST_AUTO_TEST_CASE(stray_crossed_and_doubled_results_are_counted_and_dropped)
+{
+    const open_gate gate;
+    node_counters counters;
+    dispatcher_settings settings;
+    settings.self = {"h", 1};
+    settings.data_centre = "dc";
+    dispatcher sender(settings, gate, counters, 1);
+    sender.configure(one_worker_config());
+    std::vector<task_event> events;
+    const auto answer = [&](std::uint64_t request, worker_answer text)
+    {
+        BOOST_REQUIRE(request != 0);
+        sender.on_worker_answer(at(1), request, text, events);
+    };
+    action_list out;
+    sender.on_tick(at(0), out);
+    answer(request_of<lease_ask>(out), lease_grant{7, 1, 8, 0, 10'000'000, 0});
+    open_job job;
+    job.id = {1, 2};
+    job.service = "s";
+    job.team = "t";
+    job.deadline = milliseconds{5000};
+    job.tasks.resize(2);
+    job.unfinished = 2;
+    sender.enqueue(job, at(1));
+    out.clear();
+    sender.pump(at(1), out);
+    answer(request_of<start_batch>(out),
+           start_reply{7, 0, 2, {start_verdict::accepted, start_verdict::accepted}});
+    result_reply reply{7, 0, 0, {}};
+    reply.lines.push_back({1, 1, job.tasks[0].sequence, {9, 9}, 0, task_end::done, 1, "other job"});
+    reply.lines.push_back({2, 1, job.tasks[0].sequence, job.id, 1, task_end::done, 1, "crossed"});
+    reply.lines.push_back({3, 1, 999, job.id, 0, task_end::done, 1, "no such start"});
+    reply.lines.push_back({4, 1, job.tasks[0].sequence, job.id, 0, task_end::done, 1, "right"});
+    reply.lines.push_back({4, 1, job.tasks[0].sequence, job.id, 0, task_end::done, 1, "doubled"});
+    answer(request_of<result_ask>(out), reply);
+    BOOST_REQUIRE_EQUAL(events.size(), 1U);
+    BOOST_TEST(events[0].output == "right");
+    BOOST_TEST(events[0].task == 0U);
+    BOOST_TEST(counters.answers_stray == 4U);
+    BOOST_TEST(sender.outstanding() == 1U);
+}
