An omission from the host list proves a host's end only after the list's lag

Cause: a host that was listed and no longer is was taken as ended at once. The list may omit it because its former process ended, while a newer one of that name already runs; an owner that had told its grantor 'direct' then resumed beside the grantor's takeover. Ruled out: the bound of refusals and the handover, whose traces are right.

Change: only an omission that outlasts host_list_lag over times at which the list was read is a proof. A lone host whose grantor is silent becomes the sole holder by a claim in the log, instead of repeating a claim that names the silent one.

Conclusion: a grantor's death during an outage of the log now stalls its owner's shards for the list's lag; docs say so.

--- a/src/core/ownership.cpp
+++ b/src/core/ownership.cpp
@@ -24,8 +24,8 @@
 //     An owner that has said "direct" gives up right 2 until the grantor acknowledges a heartbeat
 //     without it: at any time, at most one of the two can move the shard without the other.
 //  4. Any other host may claim only when both owner and grantor are proven to be over: a higher
-//     incarnation of the same name was heard, or the platform's list named the host and now does
-//     not. Silence alone proves nothing.
+//     incarnation of the same name was heard, or the platform's list has omitted the host for
+//     longer than the list ever trails. Silence alone proves nothing.
 //  5. A shard without any claim may be claimed by all; the log decides.
 //
 // The trade-off: no vote and no quorum, so one silent grantor in an outage of the log stalls its
@@ -54,6 +54,7 @@
 constexpr int drift_divisor = 100;
 constexpr const char* handover_reason = "handover";
 constexpr std::size_t beats_remembered = 32;
+constexpr microseconds longest_list_gap = milliseconds{5000};
 constexpr microseconds settle_time = milliseconds{600};
 constexpr microseconds rank_delay = milliseconds{700};
 constexpr std::uint32_t grantor_step = 1;
@@ -175,14 +176,17 @@
     const auto omitted = m_unlisted.find(host.name);
     if (omitted == m_unlisted.end())
         return false;
-    // A host that was listed and no longer is has been ended by the platform. One that this
-    // process never saw listed may only be new: the list gets its full lag to name it.
-    return m_listed.contains(host.name) ||
-           now.steady - omitted->second > microseconds{m_settings.host_list_lag};
+    // The list may omit a host because an earlier process of that name ended, while a newer one
+    // already runs and is not named yet. Only an omission that outlasts the list's lag proves that
+    // no process of that name runs. Only time over which the list was read counts.
+    return m_list_read - omitted->second > microseconds{m_settings.host_list_lag};
 }
 
 void ownership::on_host_list(instant now, const std::vector<listed_host>& hosts)
 {
+    // What happened while the list could not be read is not known: omissions count anew.
+    if (now.steady - m_list_read > longest_list_gap)
+        m_unlisted.clear();
     std::vector<std::string> named;
     for (const auto& host : hosts)
     {
@@ -449,11 +453,11 @@
     const bool silent = state.lease_until - now.steady < microseconds{m_settings.lease} / 2;
     if (!over && !silent && !state.claim_open && !(leaving && m_log_reachable))
         return;
-    auto next = pick_grantor(now, m_settings.self);
+    // With no peer left the claim names nobody: if it wins, the silent grantor has no right any
+    // more, and this host is the sole holder.
+    const auto next = pick_grantor(now, m_settings.self);
     if (next == state.grantor && !silent)
         return;
-    if (next.empty() && !over)
-        next = state.grantor;
     claim(shard, now, m_settings.self, next, "new grantor", out);
     state.frozen = state.frozen || state.claim_open;
 }
