Dead state removed, one comment mended

Cause: a reading of the whole change. node kept a map of peers' revisions that nothing reads, the configuration follower a flag that nobody asks for, and task_queue::drop had another function's comment. Change: both removed, the comment says what drop does. Behaviour unchanged.

--- a/src/core/config_follower.cpp
+++ b/src/core/config_follower.cpp
@@ -93,7 +93,6 @@
 
 void config_follower::take(const log_entry& entry, const wire::Publication& text)
 {
-    m_lacks_snapshot = !m_has_state;
     if (m_has_state)
         apply_publication(entry, text);
     m_recent.push_back(entry);
@@ -233,7 +232,6 @@
     m_next_offset = std::max(m_next_offset, state.next_offset());
     m_base_floor = std::max(m_base_floor, state.base_floor());
     m_has_state = true;
-    m_lacks_snapshot = false;
     m_recent.clear();
     return true;
 }
--- a/src/core/config_follower.hpp
+++ b/src/core/config_follower.hpp
@@ -55,8 +55,6 @@
     const std::deque<log_entry>& recent() const { return m_recent; }
     // The latest verdicts, oldest first.
     const std::deque<judged_publication>& history() const { return m_history; }
-    // True if the stream has records but this reader has no state to apply them to.
-    bool lacks_snapshot() const { return m_lacks_snapshot; }
     bool saw_snapshot() const { return m_saw_snapshot; }
     void clear_snapshot_seen() { m_saw_snapshot = false; }
 
@@ -79,7 +77,6 @@
     std::uint64_t m_next_offset = 0;
     std::uint64_t m_base_floor = 0;
     bool m_has_state = false;
-    bool m_lacks_snapshot = false;
     bool m_saw_snapshot = false;
     std::deque<log_entry> m_recent;
     std::deque<judged_publication> m_history;
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -189,7 +189,6 @@
     host_listing m_listing;
     bool m_have_listing = false;
     std::map<std::string, std::uint64_t> m_peer_incarnations;
-    std::map<std::string, std::uint64_t> m_peer_revisions;
     stream_reader m_config_reader;
     stream_reader m_claims_reader;
     std::map<std::uint32_t, handover> m_handovers;
--- a/src/core/task_queue.hpp
+++ b/src/core/task_queue.hpp
@@ -32,7 +32,7 @@
 
     // `work` is the expected time of the whole job and `slots` what the job could use at once.
     void add(open_job& job, std::uint32_t task, milliseconds expected, double slots);
-    // Puts a task back at the head of its job.
+    // Forgets the tasks of `job` that wait.
     void drop(const open_job& job);
 
     // Looks for the next task; nothing is removed. Teams in `skipped` (by number) are passed over.
