--- /dev/null
+++ b/src/io/edge_settings.cpp
@@ -0,0 +1,132 @@
+#include "io/edge_settings.hpp"
+#include <charconv>
+#include <fstream>
+#include <sstream>
+#include <yaml-cpp/yaml.h>
+
+namespace egretledge
+{
+
+namespace
+{
+
+// Collects faults while it reads, so that all are told at once.
+class reader
+{
+public:
+    explicit reader(const YAML::Node& root) : m_root(root) {}
+
+    void text(const char* name, std::string& value, bool required)
+    {
+        const auto node = m_root[name];
+        if (node && node.IsScalar())
+            value = node.Scalar();
+        else if (node)
+            fault(name, "is not a text; give one");
+        if (required && value.empty())
+            fault(name, "is missing; set it");
+    }
+
+    void address(const char* name, std::string& value, bool required)
+    {
+        text(name, value, required);
+        if (value.empty())
+            return;
+        const auto plain = value.starts_with("tcp://") ? value.substr(6) : value;
+        if (const auto parsed = parse_ip_port(plain); !parsed)
+            fault(name, parsed.error().message);
+    }
+
+    template <class Number>
+    void number(const char* name, Number& value, Number least, Number most)
+    {
+        const auto node = m_root[name];
+        if (!node)
+            return;
+        Number given{};
+        if (!YAML::convert<Number>::decode(node, given) || given < least || given > most)
+            return fault(name, "is not a number in its range; see docs/SETTINGS.md");
+        value = given;
+    }
+
+    void fault(const std::string& name, const std::string& what)
+    {
+        m_faults += "'" + name + "' " + what + "\n";
+    }
+    const std::string& faults() const { return m_faults; }
+
+private:
+    const YAML::Node& m_root;
+    std::string m_faults;
+};
+
+} // namespace
+
+expected<ip_port> parse_ip_port(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    ip_port result;
+    if (colon != std::string::npos)
+    {
+        result.ip = text.substr(0, colon);
+        const auto* last = text.data() + text.size();
+        if (std::from_chars(text.data() + colon + 1, last, result.port).ptr == last &&
+            result.port > 0 && !result.ip.empty())
+            return result;
+    }
+    return tl::make_unexpected(error{error_kind::bad_input, "'" + text + "' is not IP:PORT"});
+}
+
+expected<edge_settings> parse_edge_settings(const std::string& text)
+{
+    YAML::Node root;
+    try
+    {
+        root = YAML::Load(text);
+    }
+    catch (const YAML::Exception& e)
+    {
+        return tl::make_unexpected(
+            error{error_kind::bad_input, std::string("not YAML: ") + e.what() + "; mend it\n"});
+    }
+    if (!root.IsMap())
+        return tl::make_unexpected(
+            error{error_kind::bad_input, "the settings are no map; write 'name: value' lines\n"});
+    edge_settings settings;
+    reader read(root);
+    read.text("name", settings.name, true);
+    read.text("data_centre", settings.data_centre, true);
+    read.address("callers", settings.callers, true);
+    read.address("readiness", settings.readiness, true);
+    read.address("control", settings.control, false);
+    read.address("metrics", settings.metrics, false);
+    read.address("peers", settings.peers, true);
+    read.address("store", settings.store, true);
+    read.text("log_level", settings.log_level, false);
+    read.number<std::uint32_t>("log_lines_per_s", settings.log_lines_per_s, 1, 100000);
+    double stop_s = static_cast<double>(settings.stop_limit.count()) / 1000.0;
+    read.number<double>("stop_limit_s", stop_s, 0.1, 3600);
+    settings.stop_limit = milliseconds{static_cast<std::int64_t>(stop_s * 1000)};
+    if (const auto seeds = root["seeds"]; seeds && seeds.IsSequence())
+        for (const auto& seed : seeds)
+            if (seed.IsScalar() && parse_ip_port(seed.Scalar()))
+                settings.seeds.push_back(seed.Scalar());
+            else
+                read.fault("seeds", "holds something that is not IP:PORT");
+    if (!read.faults().empty())
+        return tl::make_unexpected(error{error_kind::bad_input, read.faults()});
+    return settings;
+}
+
+expected<edge_settings> load_edge_settings(const std::string& path)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    if (!file)
+        return tl::make_unexpected(
+            error{error_kind::not_found, "cannot read " + path + "; name an existing file\n"});
+    return parse_edge_settings(text.str());
+}
+
+} // namespace egretledge
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
+#include <netinet/tcp.h>
 
 namespace egretledge
 {
@@ -53,18 +54,40 @@
         message.set(http::field::authorization, "Bearer " + call.bearer);
     if (!call.idempotency_key.empty())
         message.set("Idempotency-Key", call.idempotency_key);
+    for (const auto& [name, value] : call.headers)
+        message.set(name, value);
     message.body() = std::move(call.body);
     message.prepare_payload();
     return message;
 }
 
+// A connection that went silent without a reset is found by keep-alive probes within about 3 s, also
+// while a long poll waits on it.
+void set_socket_options(tcp::socket& socket)
+{
+    constexpr int probe_s = 1;
+    constexpr int probes = 2;
+    constexpr int unacknowledged_ms = 3000;
+    const auto handle = socket.native_handle();
+    const auto set = [&](int level, int name, int value)
+    { return ::setsockopt(handle, level, name, &value, sizeof value) == 0; };
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(net::socket_base::keep_alive(true), ignored);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, probe_s);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, probe_s);
+    set(IPPROTO_TCP, TCP_KEEPCNT, probes);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms);
+}
+
 } // namespace
 
 class http_client::pool : public std::enable_shared_from_this<pool>
 {
 public:
-    pool(net::io_context& context, std::string address, std::uint32_t most)
-        : m_strand(net::make_strand(context)), m_address(std::move(address)), m_most(most)
+    pool(net::io_context& context, std::string address, std::uint32_t most, milliseconds idle_limit)
+        : m_strand(net::make_strand(context)), m_address(std::move(address)), m_most(most),
+          m_idle_limit(idle_limit)
     {
     }
 
@@ -98,6 +121,7 @@
         http::request<http::string_body> message;
         std::optional<http::response_parser<http::string_body>> parser;
         callback done;
+        std::chrono::steady_clock::time_point idle_since;
     };
     using exchange_ptr = std::shared_ptr<exchange>;
 
@@ -119,8 +143,20 @@
         }
     }
 
+    // Drops the connections that have been idle for too long; the newest is at the back.
+    void drop_stale()
+    {
+        const auto limit = std::chrono::steady_clock::now() - m_idle_limit;
+        const auto fresh = std::find_if(m_idle.begin(), m_idle.end(), [&](const exchange_ptr& work)
+                                        { return work->idle_since > limit; });
+        for (auto stale = m_idle.begin(); stale != fresh; ++stale)
+            (*stale)->stream.close();
+        m_idle.erase(m_idle.begin(), fresh);
+    }
+
     void begin(request wanted)
     {
+        drop_stale();
         const bool kept = !m_idle.empty();
         auto work = kept ? m_idle.back() : std::make_shared<exchange>(m_strand);
         if (kept)
@@ -146,8 +182,7 @@
                         tl::make_unexpected(error{error_kind::unreachable,
                                                   self->m_address + ": " + code.message()}),
                         false);
-                error_code ignored;
-                work->stream.socket().set_option(tcp::no_delay(true), ignored);
+                set_socket_options(work->stream.socket());
                 self->write(work);
             });
     }
@@ -191,6 +226,7 @@
         if (keep)
         {
             work->stream.expires_never();
+            work->idle_since = std::chrono::steady_clock::now();
             m_idle.push_back(work);
         }
         else
@@ -202,13 +238,15 @@
     net::strand<net::io_context::executor_type> m_strand;
     std::string m_address;
     std::uint32_t m_most;
+    milliseconds m_idle_limit;
     std::uint32_t m_used = 0;
     std::deque<request> m_waiting;
     std::vector<exchange_ptr> m_idle;
 };
 
-http_client::http_client(net::io_context& context, std::uint32_t connections)
-    : m_context(context), m_connections(connections)
+http_client::http_client(net::io_context& context, std::uint32_t connections,
+                         milliseconds idle_limit)
+    : m_context(context), m_connections(connections), m_idle_limit(idle_limit)
 {
 }
 
@@ -221,7 +259,8 @@
         const std::lock_guard lock(m_guard);
         auto& entry = m_pools[call.address];
         if (!entry)
-            entry = std::make_shared<pool>(m_context, call.address, m_connections);
+            entry = std::make_shared<pool>(m_context, call.address, m_connections,
+                                           m_idle_limit);
         target = entry;
     }
     target->send(std::move(call), std::move(done));
--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -31,6 +31,7 @@
     std::string content_type = "application/json";
     std::string bearer;
     std::string idempotency_key;
+    std::vector<std::pair<std::string, std::string>> headers;
     milliseconds timeout{1000};
 };
 
@@ -39,8 +40,11 @@
 public:
     using callback = std::function<void(expected<http_reply>)>;
 
-    // At most `connections` at once to one address; further requests wait within their timeout.
-    http_client(boost::asio::io_context& context, std::uint32_t connections);
+    // At most `connections` at once to one address; further requests wait within their timeout. A
+    // connection that was idle for `idle_limit` is not used again, since the other side may be
+    // closing it.
+    http_client(boost::asio::io_context& context, std::uint32_t connections,
+                milliseconds idle_limit = std::chrono::minutes{1});
     ~http_client();
 
     // The callback runs on a thread of the context, once.
@@ -51,6 +55,7 @@
 private:
     boost::asio::io_context& m_context;
     std::uint32_t m_connections;
+    milliseconds m_idle_limit;
     std::mutex m_guard;
     std::map<std::string, std::shared_ptr<pool>> m_pools;
 };
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/beast/ssl.hpp>
+#include <charconv>
 
 namespace egretledge
 {
@@ -28,6 +29,7 @@
     std::optional<net::ssl::context> tls;
     std::atomic<bool> stopping{false};
     std::atomic<std::uint32_t> connections{0};
+    std::atomic<std::uint64_t> next_number{1};
 };
 
 namespace
@@ -122,6 +124,13 @@
         const std::string_view authorization = message[http::field::authorization];
         if (authorization.starts_with(bearer_prefix))
             request.bearer = std::string(authorization.substr(bearer_prefix.size()));
+        request.host = std::string(message[http::field::host]);
+        const std::string_view timeout = message["Timeout-Ms"];
+        std::from_chars(timeout.data(), timeout.data() + timeout.size(), request.timeout_ms);
+        request.number = m_common->next_number++;
+        if constexpr (std::is_same_v<Stream, beast::tcp_stream>)
+            if (m_common->settings.on_gone)
+                watch(request.number);
         m_common->handler(std::move(request),
                           [self = this->shared_from_this()](http_response response)
                           {
@@ -131,8 +140,39 @@
                           });
     }
 
+    // Waits for the caller's end of the connection while its request is open. Bytes that arrive
+    // meanwhile belong to a next request and end the watch.
+    void watch(std::uint64_t number)
+    {
+        m_watching = number;
+        m_stream.socket().async_wait(
+            tcp::socket::wait_read,
+            [self = this->shared_from_this(), number](error_code code)
+            {
+                if (code || self->m_watching != number)
+                    return;
+                self->m_watching = 0;
+                char byte = 0;
+                const auto got = ::recv(self->m_stream.socket().native_handle(), &byte, 1,
+                                        MSG_PEEK | MSG_DONTWAIT);
+                if (got > 0 || (got < 0 && errno == EAGAIN))
+                    return;
+                self->m_keep = false;
+                self->m_common->settings.on_gone(number);
+            });
+    }
+
+    void end_watch()
+    {
+        if (std::exchange(m_watching, 0) == 0)
+            return;
+        error_code ignored;
+        beast::get_lowest_layer(m_stream).socket().cancel(ignored);
+    }
+
     void write(http_response response)
     {
+        end_watch();
         m_response = {};
         m_response.version(11);
         m_response.result(response.status);
@@ -165,6 +205,7 @@
     std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_response;
     bool m_keep = true;
+    std::uint64_t m_watching = 0; // the open request's number while its connection is watched
 };
 
 } // namespace
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -25,6 +25,10 @@
     std::string body;
     std::string bearer;          // of the Authorization header
     std::string idempotency_key; // of the header of that name
+    std::string host;            // of the Host header
+    std::uint32_t timeout_ms = 0; // of the Timeout-Ms header; 0 if absent or not a number
+    // Tells one request of this server from another; see http_server_settings::on_gone.
+    std::uint64_t number = 0;
 };
 
 struct http_response
@@ -51,6 +55,9 @@
     std::chrono::milliseconds idle_limit{60000};
     std::string certificate_file; // PEM; empty: no TLS
     std::string key_file;
+    // Called with a request's number when its connection ends before it was answered. Without TLS
+    // only. The responder may still be called, to no effect.
+    std::function<void(std::uint64_t)> on_gone;
 };
 
 class http_server
--- a/src/io/peer_bus.cpp
+++ b/src/io/peer_bus.cpp
@@ -22,6 +22,9 @@
 constexpr std::chrono::milliseconds poll_time{100};
 constexpr int reconnect_first_ms = 50;
 constexpr int reconnect_longest_ms = 1000;
+// A connection that went silent is replaced after this time.
+constexpr int heartbeat_every_ms = 300;
+constexpr int heartbeat_timeout_ms = 900;
 constexpr std::size_t key_bytes = 32;
 constexpr std::size_t key_text = 41;
 
@@ -158,6 +161,9 @@
         socket.set(zmq::sockopt::sndhwm, high_water_mark);
         socket.set(zmq::sockopt::reconnect_ivl, reconnect_first_ms);
         socket.set(zmq::sockopt::reconnect_ivl_max, reconnect_longest_ms);
+        socket.set(zmq::sockopt::heartbeat_ivl, heartbeat_every_ms);
+        socket.set(zmq::sockopt::heartbeat_timeout, heartbeat_timeout_ms);
+        socket.set(zmq::sockopt::connect_timeout, heartbeat_timeout_ms);
         if (secured)
         {
             socket.set(zmq::sockopt::curve_serverkey, key->second);
--- /dev/null
+++ b/src/pool/entry.cpp
@@ -0,0 +1,358 @@
+// A job goes as a whole to one pool: the own data centre's unless another one would start it clearly
+// sooner. The cost of a pool is the wait that it announced plus the time until the job's missing
+// room comes free; room that was promised away since the announcement counts as used. A pool that
+// declines has started nothing, so the next one is asked, each at most once. The trade-off against
+// asking several at once: one more round trip on a decline, and no double work.
+//
+// A pool that falls silent leaves its jobs unknown: their tasks may have run. The caller is told so
+// at once and comes back; by then leases have ended what still ran.
+
+#include "pool/entry.hpp"
+#include "core/wire.hpp"
+#include <algorithm>
+
+namespace egretledge::pool
+{
+
+namespace
+{
+
+constexpr std::uint32_t most_tasks = 2000; // as for the product's own jobs
+constexpr milliseconds retry_when_nowhere{1000}; // a takeover of workers takes about that long
+
+std::int64_t cpu_of(const job_request& job)
+{
+    std::int64_t sum = 0;
+    for (const auto& step : job.steps)
+        sum += step.need.cpu * step.count;
+    return sum;
+}
+
+} // namespace
+
+std::optional<std::string> fault_of(const job_request& job)
+{
+    std::uint64_t tasks = 0;
+    for (std::size_t i = 0; i < job.steps.size(); ++i)
+    {
+        tasks += job.steps[i].count;
+        for (const auto earlier : job.steps[i].after)
+            if (earlier >= i)
+                return "a step may wait only for steps before it";
+    }
+    if (tasks == 0 || tasks > most_tasks)
+        return "a job has 1 to " + std::to_string(most_tasks) + " tasks";
+    return std::nullopt;
+}
+
+void to_wire(const job_request& job, wire::PoolJob& out)
+{
+    out.set_id(job.id);
+    out.set_payload(job.payload);
+    for (const auto& step : job.steps)
+    {
+        auto& row = *out.add_steps();
+        row.set_count(step.count);
+        row.set_cpu(static_cast<std::uint64_t>(step.need.cpu));
+        row.set_memory_mb(static_cast<std::uint64_t>(step.need.memory_mb));
+        row.set_accelerators(static_cast<std::uint64_t>(step.need.accelerators));
+        row.set_estimate_ms(static_cast<std::uint32_t>(step.estimate.count()));
+        for (const auto earlier : step.after)
+            row.add_after(earlier);
+        row.set_label(step.required_label);
+        row.set_rack(step.preferred_rack);
+        row.set_most_per_worker(step.most_per_worker);
+    }
+    out.set_route(job.terms.route);
+    out.set_service(job.terms.service);
+    out.set_priority(job.terms.priority);
+    out.set_most_attempts(job.terms.most_attempts);
+    out.set_stretch(job.terms.stretch);
+    out.set_slack_ms(static_cast<std::uint32_t>(job.terms.slack.count()));
+    out.set_wait_ms(static_cast<std::uint32_t>(job.terms.wait.count()));
+}
+
+expected<job_request> from_wire(const wire::PoolJob& message)
+{
+    job_request job;
+    job.id = message.id();
+    job.payload = message.payload();
+    for (const auto& row : message.steps())
+    {
+        job_step step;
+        step.count = row.count();
+        step.need = {static_cast<std::int64_t>(row.cpu()),
+                     static_cast<std::int64_t>(row.memory_mb()),
+                     static_cast<std::int64_t>(row.accelerators())};
+        step.estimate = milliseconds{row.estimate_ms()};
+        step.after = {row.after().begin(), row.after().end()};
+        step.required_label = row.label();
+        step.preferred_rack = row.rack();
+        step.most_per_worker = row.most_per_worker();
+        job.steps.push_back(std::move(step));
+    }
+    job.terms.route = message.route();
+    job.terms.service = message.service();
+    job.terms.priority = message.priority();
+    job.terms.most_attempts = message.most_attempts();
+    job.terms.stretch = message.stretch();
+    job.terms.slack = milliseconds{message.slack_ms()};
+    job.terms.wait = milliseconds{message.wait_ms()};
+    if (const auto fault = fault_of(job))
+        return tl::make_unexpected(error{error_kind::bad_input, *fault});
+    return job;
+}
+
+entry::entry(entry_settings settings, members& peers, worker_pool& own)
+    : m_settings(std::move(settings)), m_peers(peers), m_own(own)
+{
+}
+
+double entry::cost(const load_report& load, std::int64_t promised, std::int64_t cpu) const
+{
+    const auto free = std::max<std::int64_t>(0, load.free_cpu - promised);
+    const auto missing = std::max<std::int64_t>(0, cpu - free);
+    const auto total = static_cast<double>(std::max<std::int64_t>(1, load.total_cpu));
+    return static_cast<double>(load.wait.count()) +
+           static_cast<double>(missing) / total *
+               static_cast<double>(m_settings.turnover.count());
+}
+
+std::optional<std::string> entry::choose(microseconds now, const open_call& call) const
+{
+    std::optional<std::string> best;
+    double best_cost = 0;
+    const auto consider = [&](const std::string& name, double cost)
+    {
+        if (call.tried.contains(name) || (best && cost >= best_cost))
+            return;
+        best = name;
+        best_cost = cost;
+    };
+    if (m_own.total_cpu(now) > 0 && !m_own_closed)
+        consider("", cost({m_own.free_cpu(now), m_own.total_cpu(now), m_own.expected_wait(now)}, 0,
+                          call.cpu));
+    for (const auto& [name, host] : m_peers.all())
+    {
+        if (host.load.total_cpu <= 0 || host.leaving || !m_peers.alive(name, now))
+            continue;
+        auto& promised = m_promised[name];
+        if (promised.first < host.load_at)
+            promised = {host.load_at, 0};
+        const bool away = host.data_centre != m_settings.data_centre;
+        consider(name, cost(host.load, promised.second, call.cpu) +
+                           (away ? static_cast<double>(m_settings.away_penalty.count()) : 0.0));
+    }
+    return best;
+}
+
+bool entry::can_place(microseconds now) const
+{
+    return choose(now, open_call{}).has_value();
+}
+
+void entry::submit(instant now, std::uint64_t number, job_request job, action_list& out)
+{
+    ++m_totals.calls;
+    const auto done = m_done.find(job.id);
+    if (done != m_done.end())
+    {
+        out.push_back(actions::log_event{false, "event=repeat_answered job=" + job.id});
+        out.push_back(actions::answer_call{number, {answer_kind::ok, {}, "answered before"}});
+        ++m_totals.complete;
+        return;
+    }
+    const auto known = m_by_job.find(job.id);
+    if (known != m_by_job.end())
+    {
+        // The caller came back on a new connection; the former call is of no use to it.
+        auto former = std::move(m_calls.at(known->second));
+        m_calls.erase(known->second);
+        out.push_back(actions::answer_call{
+            former.call, {answer_kind::still_running, {}, "a later call took over"}});
+        former.call = number;
+        known->second = number;
+        auto& moved = m_calls.emplace(number, std::move(former)).first->second;
+        moved.arrived = now.steady;
+        return send(now.steady, moved, out);
+    }
+    open_call call;
+    call.call = number;
+    call.cpu = cpu_of(job);
+    call.job = std::move(job);
+    call.arrived = now.steady;
+    m_by_job[call.job.id] = number;
+    auto& kept = m_calls.emplace(number, std::move(call)).first->second;
+    const auto pool = choose(now.steady, kept);
+    if (!pool)
+        return settle(now.steady, number,
+                      {answer_kind::no_worker_fits, retry_when_nowhere, "no workers in reach"}, out);
+    kept.pool = *pool;
+    send(now.steady, kept, out);
+}
+
+void entry::send(microseconds now, open_call& call, action_list& out)
+{
+    call.tried.insert(call.pool);
+    const auto age = std::chrono::duration_cast<milliseconds>(now - call.arrived);
+    if (call.pool.empty())
+        return m_own.submit(now, call.job, {{}, 0, call.call}, age, out);
+    const auto* host = m_peers.find(call.pool);
+    call.pool_ref = host->ref;
+    m_promised[call.pool].second += call.cpu;
+    if (host->data_centre != m_settings.data_centre)
+        ++m_totals.away;
+    actions::send_peer message{call.pool, {}};
+    auto& job = *message.message.mutable_pool_job();
+    to_wire(call.job, job);
+    job.set_call(call.call);
+    job.set_age_ms(static_cast<std::uint32_t>(age.count()));
+    out.push_back(std::move(message));
+}
+
+void entry::on_own_result(microseconds now, const pool_result& result, action_list& out)
+{
+    decide(now, result.caller.call, result.answer, result.declined, out);
+}
+
+void entry::on_result(microseconds now, const std::string& host, const wire::PoolResult& result,
+                      action_list& out)
+{
+    const auto call = m_calls.find(result.call());
+    if (call == m_calls.end() || call->second.pool != host || call->second.job.id != result.id())
+        return;
+    decide(now, result.call(),
+           {static_cast<answer_kind>(result.kind()), milliseconds{result.retry_after_ms()},
+            result.detail()},
+           result.declined(), out);
+}
+
+void entry::decide(microseconds now, std::uint64_t number, call_answer answer, bool declined,
+                   action_list& out)
+{
+    const auto found = m_calls.find(number);
+    if (found == m_calls.end())
+        return;
+    auto& call = found->second;
+    if (declined)
+    {
+        if (const auto next = choose(now, call))
+        {
+            call.pool = *next;
+            return send(now, call, out);
+        }
+    }
+    settle(now, number, std::move(answer), out);
+}
+
+void entry::settle(microseconds now, std::uint64_t number, call_answer answer, action_list& out)
+{
+    const auto found = m_calls.find(number);
+    const auto& call = found->second;
+    switch (row_of(answer.kind).result)
+    {
+    case outcome::complete: ++m_totals.complete; break;
+    case outcome::failed: ++m_totals.failed; break;
+    case outcome::not_run: ++m_totals.refused; break;
+    default: ++m_totals.unknown; break;
+    }
+    out.push_back(actions::log_event{
+        answer.kind != answer_kind::ok,
+        "event=answered job=" + call.job.id + " route=" + call.job.terms.route +
+            " outcome=" + std::string(name_of(answer.kind)) +
+            " pool=" + (call.pool.empty() ? "self" : call.pool) +
+            " tried=" + std::to_string(call.tried.size()) +
+            " age_ms=" + std::to_string((now - call.arrived).count() / 1000) +
+            (answer.retry_after.count() > 0
+                 ? " retry_after_ms=" + std::to_string(answer.retry_after.count())
+                 : "") +
+            (answer.detail.empty() ? "" : " detail=\"" + answer.detail + "\"")});
+    if (answer.kind == answer_kind::ok)
+    {
+        m_done[call.job.id] = now;
+        m_done_order.emplace_back(now, call.job.id);
+    }
+    out.push_back(actions::answer_call{number, std::move(answer)});
+    m_by_job.erase(call.job.id);
+    m_calls.erase(found);
+}
+
+void entry::tell_pool(const open_call& call, action_list& out)
+{
+    actions::send_peer message{call.pool, {}};
+    message.message.mutable_pool_cancel()->set_call(call.call);
+    message.message.mutable_pool_cancel()->set_id(call.job.id);
+    out.push_back(std::move(message));
+}
+
+void entry::on_caller_gone(microseconds now, std::uint64_t number, action_list& out)
+{
+    const auto found = m_calls.find(number);
+    if (found == m_calls.end())
+        return;
+    ++m_totals.gone;
+    const auto call = std::move(found->second);
+    m_calls.erase(found);
+    m_by_job.erase(call.job.id);
+    out.push_back(actions::log_event{
+        true, "event=caller_gone job=" + call.job.id + " age_ms=" +
+                  std::to_string((now - call.arrived).count() / 1000)});
+    if (call.pool.empty())
+        m_own.cancel(now, call.job.id, {{}, 0, number}, out);
+    else
+        tell_pool(call, out);
+}
+
+bool entry::cancel(microseconds now, const std::string& job, action_list& out)
+{
+    const auto known = m_by_job.find(job);
+    if (known == m_by_job.end())
+        return false;
+    const auto& call = m_calls.at(known->second);
+    if (call.pool.empty())
+        m_own.cancel(now, job, {{}, 0, call.call}, out);
+    else
+        tell_pool(call, out);
+    settle(now, call.call, {answer_kind::cancelled, {}, "taken back"}, out);
+    return true;
+}
+
+void entry::tick(microseconds now, action_list& out)
+{
+    std::vector<std::uint64_t> unknown;
+    std::vector<std::uint64_t> overdue;
+    constexpr milliseconds answer_slack{50}; // the pool gives up first; its answer may be on its way
+    for (const auto& [number, call] : m_calls)
+    {
+        if (!call.pool.empty())
+        {
+            const auto* host = m_peers.find(call.pool);
+            if (host == nullptr || host->ref != call.pool_ref || !m_peers.alive(call.pool, now))
+            {
+                unknown.push_back(number);
+                continue;
+            }
+        }
+        if (now > call.arrived + call.job.terms.wait + answer_slack)
+            overdue.push_back(number);
+    }
+    for (const auto number : unknown)
+        settle(now, number, {answer_kind::worker_lost, {}, "the pool's host is silent"}, out);
+    for (const auto number : overdue)
+    {
+        const auto& call = m_calls.at(number);
+        if (call.pool.empty())
+            m_own.cancel(now, call.job.id, {{}, 0, number}, out);
+        else
+            tell_pool(call, out);
+        settle(now, number, {answer_kind::deadline_passed, {}, "no answer of the pool"}, out);
+    }
+    while (!m_done_order.empty() && (now - m_done_order.front().first > m_settings.remember ||
+                                     m_done_order.size() > m_settings.most_remembered))
+    {
+        m_done.erase(m_done_order.front().second);
+        m_done_order.pop_front();
+    }
+}
+
+} // namespace egretledge::pool
--- /dev/null
+++ b/src/pool/entry.hpp
@@ -0,0 +1,104 @@
+#ifndef EGRETLEDGE_POOL_ENTRY_HPP
+#define EGRETLEDGE_POOL_ENTRY_HPP
+
+// The calls that reached this host: to which pool each job goes, and what its caller is told.
+
+#include "pool/members.hpp"
+#include "pool/worker_pool.hpp"
+
+namespace egretledge::pool
+{
+
+struct entry_settings
+{
+    std::string data_centre;
+    // A pool of another data centre is used when that saves more than this: its workers' own
+    // callers come first, and bytes between data centres cost.
+    milliseconds away_penalty{15};
+    // The typical time until a busy worker has room again; scales the shortage of room.
+    milliseconds turnover{120};
+    // Answers are kept this long for a resubmission that crossed its answer.
+    milliseconds remember{10000};
+    std::size_t most_remembered = 4000;
+};
+
+class entry
+{
+public:
+    entry(entry_settings settings, members& peers, worker_pool& own);
+
+    // A job that a caller handed in; the answer comes once, as an action.
+    void submit(instant now, std::uint64_t call, job_request job, action_list& out);
+    // The caller's connection has ended.
+    void on_caller_gone(microseconds now, std::uint64_t call, action_list& out);
+    // A caller takes its job back; false if it is not known here.
+    bool cancel(microseconds now, const std::string& job, action_list& out);
+    void on_result(microseconds now, const std::string& host, const wire::PoolResult& result,
+                   action_list& out);
+    // Own results of the own pool's calls.
+    void on_own_result(microseconds now, const pool_result& result, action_list& out);
+    void tick(microseconds now, action_list& out);
+
+    // True if some pool in reach has workers.
+    bool can_place(microseconds now) const;
+    // From now on jobs go to other pools, if there are any.
+    void close_own_pool() { m_own_closed = true; }
+    bool idle() const { return m_calls.empty(); }
+    std::size_t open_calls() const { return m_calls.size(); }
+    bool knows(const std::string& job) const { return m_by_job.contains(job); }
+
+    struct totals
+    {
+        std::uint64_t calls = 0;
+        std::uint64_t complete = 0;
+        std::uint64_t failed = 0;
+        std::uint64_t refused = 0;
+        std::uint64_t unknown = 0;
+        std::uint64_t gone = 0; // the caller left first
+        std::uint64_t away = 0; // sent to another data centre
+    };
+    const totals& counts() const { return m_totals; }
+
+private:
+    struct open_call
+    {
+        std::uint64_t call = 0;
+        job_request job;
+        microseconds arrived{0};
+        std::string pool; // empty: this host's own
+        host_ref pool_ref;
+        std::set<std::string> tried;
+        std::int64_t cpu = 0;
+    };
+
+    // The pool to ask next, as a host's name ("" for the own one); nullopt if none is left.
+    std::optional<std::string> choose(microseconds now, const open_call& call) const;
+    double cost(const load_report& load, std::int64_t promised, std::int64_t cpu) const;
+    void send(microseconds now, open_call& call, action_list& out);
+    void settle(microseconds now, std::uint64_t call, call_answer answer, action_list& out);
+    void decide(microseconds now, std::uint64_t call, call_answer answer, bool declined,
+                action_list& out);
+    void tell_pool(const open_call& call, action_list& out);
+
+    entry_settings m_settings;
+    members& m_peers;
+    worker_pool& m_own;
+    std::map<std::uint64_t, open_call> m_calls;
+    std::map<std::string, std::uint64_t> m_by_job;
+    // Room promised away since a peer's last load report.
+    mutable std::map<std::string, std::pair<microseconds, std::int64_t>> m_promised;
+    std::map<std::string, microseconds> m_done;
+    std::deque<std::pair<microseconds, std::string>> m_done_order;
+    bool m_own_closed = false;
+    totals m_totals;
+};
+
+// Conversions between a job and its message.
+void to_wire(const job_request& job, wire::PoolJob& out);
+expected<job_request> from_wire(const wire::PoolJob& message);
+// The fault of a job's shape, or nothing: steps that wait for later ones, no tasks, or too many.
+std::optional<std::string> fault_of(const job_request& job);
+
+} // namespace egretledge::pool
+
+#endif
--- /dev/null
+++ b/src/pool/held_worker.cpp
@@ -0,0 +1,411 @@
+// A worker refuses every order whose fencing token is lower than the highest it has seen, and lists
+// what runs on it. Three rules follow, and everything here serves them.
+//
+// 1. Nothing starts before a hold under the present token was accepted, since only its list tells
+//    what a former holder left running. Such runs are stopped; until their ends are listed the
+//    worker counts as full, because their size is not known here.
+//
+// 2. A start without an answer is in doubt: it may be carried out seconds later, on room that has
+//    been given away by then. The token is raised and a hold sent under it. If the run is in that
+//    hold's list it was started; if not it never will be. Nothing else starts meanwhile. The
+//    alternative, a stop for the run, bars only that run; the raised token bars all that is late.
+//
+// 3. A run on a silent worker is over when its lease has surely ended: the worker's clock, as last
+//    heard and advanced at the slowest rate, has passed the latest lease end in any order.
+//
+// Answers may overtake each other, so a hold's list speaks about a run only if the hold was sent
+// after the run was known to be there, or under a higher token than the run's start.
+
+#include "pool/held_worker.hpp"
+#include "core/check.hpp"
+#include <algorithm>
+#include <array>
+
+namespace egretledge::pool
+{
+
+namespace
+{
+
+constexpr std::uint64_t first_fence_step = 1ULL << 12;  // one millisecond of the token's time part
+constexpr std::uint64_t longest_fence_step = 1ULL << 26; // 16 s: more than clocks may differ
+constexpr std::uint32_t most_open_holds = 2;
+constexpr milliseconds hold_slack{200}; // on top of a hold's own wait; a round trip and a busy host
+constexpr milliseconds stop_repeat{150}; // a stop takes at most 50 ms; then it may have been lost
+constexpr std::int64_t lapse_margin_ms = 20; // ends of leases are carried out a little late
+
+} // namespace
+
+held_worker::held_worker(const held_worker_settings& settings, worker_entry entry,
+                         std::uint64_t fence)
+    : m_settings(settings), m_entry(std::move(entry)), m_fence(fence),
+      m_fence_step(first_fence_step), m_doubt(true)
+{
+}
+
+bool held_worker::usable() const
+{
+    return m_taken && !m_lost && !m_doubt && m_silent_since.count() == 0;
+}
+
+room held_worker::free() const
+{
+    const bool unknown_run = std::any_of(m_runs.begin(), m_runs.end(),
+                                         [](const auto& entry) { return entry.second.foreign; });
+    return unknown_run ? room{} : m_entry.capacity - m_used;
+}
+
+std::vector<held_worker::run_view> held_worker::runs() const
+{
+    std::vector<run_view> views;
+    for (const auto& [ref, state] : m_runs)
+        if (!state.foreign)
+            views.push_back(state.view);
+    return views;
+}
+
+const held_worker::run_view* held_worker::find(const run_ref& run) const
+{
+    const auto entry = m_runs.find(run);
+    return entry == m_runs.end() ? nullptr : &entry->second.view;
+}
+
+void held_worker::raise_fence()
+{
+    m_fence += m_fence_step;
+    m_fence_step = std::min(m_fence_step * 4, longest_fence_step);
+    m_doubt = true;
+    m_next_hold = microseconds{0};
+}
+
+std::int64_t held_worker::clock_estimate(microseconds now) const
+{
+    return m_clock_ms + std::chrono::duration_cast<milliseconds>(now - m_clock_at).count();
+}
+
+bool held_worker::lease_surely_over(microseconds now) const
+{
+    if (!m_clock_known)
+        return true;
+    const auto passed = static_cast<double>((now - m_clock_at).count()) / 1000.0;
+    const double slowest = static_cast<double>(m_clock_ms) + passed * (1 - m_settings.clock_drift);
+    return slowest > static_cast<double>(m_lease_sent_ms + lapse_margin_ms);
+}
+
+std::int64_t held_worker::next_lease(microseconds now)
+{
+    if (!m_clock_known)
+        return 0;
+    const auto until = clock_estimate(now) + m_settings.lease.count();
+    m_lease_sent_ms = std::max(m_lease_sent_ms, until);
+    return until;
+}
+
+void held_worker::start(microseconds now, const run_ref& run, const room& need,
+                        const std::string& payload, std::uint64_t& next_request, action_list& out)
+{
+    EGRET_CHECK(usable() && need.fits(free()), "a start needs a usable worker with room");
+    run_state state;
+    state.view = {run, need, now, 0, now, false};
+    state.fence = m_fence;
+    m_runs.emplace(run, state);
+    m_used += need;
+    const auto request = next_request++;
+    m_orders[request] = {order_kind::start, run, m_fence, now};
+    out.push_back(actions::start_run{request, m_entry.id, m_entry.address, m_fence,
+                                     next_lease(now), run, payload, m_settings.order_timeout});
+    if (m_open_holds == 0)
+        send_hold(now, m_settings.renew, next_request, out);
+    m_next_hold = now + m_settings.renew;
+}
+
+void held_worker::stop(microseconds now, const run_ref& run, std::uint64_t& next_request,
+                       action_list& out)
+{
+    const auto entry = m_runs.find(run);
+    if (entry == m_runs.end() || m_lost)
+        return;
+    entry->second.view.stopping = true;
+    entry->second.stop_sent = now;
+    const auto request = next_request++;
+    m_orders[request] = {order_kind::stop, run, m_fence, now};
+    out.push_back(actions::stop_run{request, m_entry.id, m_entry.address, m_fence, run,
+                                    m_settings.order_timeout});
+}
+
+void held_worker::send_hold(microseconds now, milliseconds wait, std::uint64_t& next_request,
+                            action_list& out)
+{
+    const auto request = next_request++;
+    m_orders[request] = {order_kind::hold, {}, m_fence, now};
+    ++m_open_holds;
+    out.push_back(actions::hold_worker{request, m_entry.id, m_entry.address, m_fence,
+                                       m_runs.empty() ? 0 : next_lease(now), m_ends_seen, wait,
+                                       wait + hold_slack});
+    m_next_hold = now + m_settings.renew;
+}
+
+void held_worker::tick(microseconds now, std::uint64_t& next_request, action_list& out,
+                       worker_events& events)
+{
+    if (m_lost)
+        return;
+    if (m_silent_since.count() != 0 && !m_runs.empty() && lease_surely_over(now))
+    {
+        end_all(now, run_end::lapsed, events);
+        raise_fence();
+        m_next_hold = now + m_settings.retry;
+    }
+    for (auto& [ref, state] : m_runs)
+        if (state.view.stopping && now - state.stop_sent > stop_repeat && usable())
+            stop(now, ref, next_request, out);
+    const bool due = now >= m_next_hold;
+    const bool unheld = m_open_holds == 0 && m_silent_since.count() == 0;
+    if (m_open_holds >= most_open_holds || (!due && !unheld))
+        return;
+    if (m_doubt || m_silent_since.count() != 0)
+        return due ? send_hold(now, milliseconds{0}, next_request, out) : void();
+    if (m_runs.empty())
+    {
+        if (unheld)
+            send_hold(now, m_settings.idle_check, next_request, out);
+        return;
+    }
+    send_hold(now, m_open_holds == 0 ? m_settings.renew : milliseconds{0}, next_request, out);
+}
+
+bool held_worker::on_reply(microseconds now, std::uint64_t request, const worker_reply& reply,
+                           std::uint64_t& next_request, action_list& out, worker_events& events)
+{
+    const auto found = m_orders.find(request);
+    if (found == m_orders.end())
+        return false;
+    const open_order order = found->second;
+    m_orders.erase(found);
+    if (order.kind == order_kind::hold)
+        --m_open_holds;
+    if (m_lost)
+        return true;
+    if (reply.clock_ms > 0 && (!m_clock_known || reply.clock_ms >= m_clock_ms))
+    {
+        m_clock_known = true;
+        m_clock_ms = reply.clock_ms;
+        m_clock_at = now;
+    }
+    switch (order.kind)
+    {
+    case order_kind::hold: on_hold(now, order, reply, events); break;
+    case order_kind::start: on_start(now, order, reply, events); break;
+    case order_kind::stop:
+        if (reply.result == order_result::other_lifetime)
+            lose(reply.result, events);
+        break;
+    }
+    for (auto& [ref, state] : m_runs)
+        if (state.foreign && !state.view.stopping && usable())
+            stop(now, ref, next_request, out);
+    tick(now, next_request, out, events);
+    return true;
+}
+
+void held_worker::note_silence(microseconds now)
+{
+    if (m_silent_since.count() == 0)
+        m_silent_since = now;
+    m_next_hold = std::max(m_next_hold, now + m_settings.retry);
+}
+
+void held_worker::on_hold(microseconds now, const open_order& order, const worker_reply& reply,
+                          worker_events& events)
+{
+    switch (reply.result)
+    {
+    case order_result::accepted: break;
+    case order_result::stale_fence:
+        if (order.fence < m_fence)
+            return;
+        if (m_taken)
+            return lose(reply.result, events);
+        raise_fence();
+        m_next_hold = now + m_settings.retry;
+        return;
+    case order_result::other_lifetime: return lose(reply.result, events);
+    default: return note_silence(now);
+    }
+    m_silent_since = microseconds{0};
+    if (m_born != 0 && reply.born_ms != 0 && reply.born_ms != m_born)
+        return reborn(now, events);
+    if (reply.born_ms != 0)
+        m_born = reply.born_ms;
+    for (const auto& line : reply.running)
+        note_running(now, line);
+    for (const auto& line : reply.ended)
+        note_ended(line, now, events);
+    settle_absent(now, order, reply, events);
+    if (order.fence != m_fence)
+        return;
+    m_doubt = false;
+    m_fence_step = first_fence_step;
+    if (!std::exchange(m_taken, true))
+        events.push_back({worker_event_kind::taken, m_entry.id, {}, {}, {}, {}});
+    if (!m_runs.empty() && m_open_holds == 0)
+        m_next_hold = now;
+}
+
+void held_worker::on_start(microseconds now, const open_order& order, const worker_reply& reply,
+                           worker_events& events)
+{
+    const auto entry = m_runs.find(order.run);
+    const bool open = entry != m_runs.end() && entry->second.at == stage::starting;
+    const auto not_started = [&](order_result reason)
+    {
+        if (!open)
+            return;
+        drop(entry);
+        events.push_back(
+            {worker_event_kind::not_started, m_entry.id, order.run, {}, reason, {}});
+    };
+    switch (reply.result)
+    {
+    case order_result::accepted:
+        if (open)
+        {
+            entry->second.at = stage::running;
+            entry->second.confirmed = now;
+        }
+        return;
+    case order_result::stale_fence:
+        not_started(reply.result);
+        if (order.fence == m_fence)
+            lose(reply.result, events);
+        return;
+    case order_result::other_lifetime:
+        not_started(reply.result);
+        return lose(reply.result, events);
+    case order_result::no_answer:
+        if (!open || entry->second.fence < m_fence)
+            return; // it has ended meanwhile, or a raised token settles it already
+        raise_fence();
+        return;
+    case order_result::unreachable:
+        not_started(reply.result);
+        return note_silence(now);
+    default: return not_started(reply.result);
+    }
+}
+
+void held_worker::note_running(microseconds now, const running_line& line)
+{
+    auto [entry, fresh] = m_runs.try_emplace(line.run);
+    auto& state = entry->second;
+    if (fresh)
+    {
+        state.view.run = line.run;
+        state.view.sent = now;
+        state.foreign = true;
+    }
+    if (state.at == stage::starting)
+    {
+        state.at = stage::running;
+        state.confirmed = now;
+    }
+    state.view.percent = line.percent;
+    state.view.percent_at = now;
+}
+
+void held_worker::note_ended(const ended_line& line, microseconds now, worker_events& events)
+{
+    if (line.number <= m_ends_seen)
+        return;
+    m_ends_seen = line.number;
+    const auto entry = m_runs.find(line.run);
+    if (entry == m_runs.end())
+        return;
+    const bool ours = !entry->second.foreign;
+    const auto ran = now - entry->second.view.sent;
+    drop(entry);
+    if (ours)
+        events.push_back({worker_event_kind::ended, m_entry.id, line.run, line.end, {}, ran});
+}
+
+void held_worker::settle_absent(microseconds now, const open_order& order,
+                                const worker_reply& reply, worker_events& events)
+{
+    if (reply.more_ended)
+        return;
+    std::vector<run_ref> listed;
+    for (const auto& line : reply.running)
+        listed.push_back(line.run);
+    for (auto entry = m_runs.begin(); entry != m_runs.end();)
+    {
+        const auto here = entry++;
+        const auto& state = here->second;
+        if (std::find(listed.begin(), listed.end(), here->first) != listed.end())
+            continue;
+        const bool never = state.at == stage::starting && state.fence < order.fence;
+        const bool gone = state.at == stage::running && state.confirmed < order.sent;
+        if (!never && !gone)
+            continue;
+        const auto run = here->first;
+        const bool ours = !state.foreign;
+        const auto ran = now - state.view.sent;
+        drop(here);
+        if (!ours)
+            continue;
+        if (never)
+            events.push_back({worker_event_kind::not_started, m_entry.id, run, {},
+                              order_result::no_answer, {}});
+        else
+            events.push_back(
+                {worker_event_kind::ended, m_entry.id, run, run_end::lapsed, {}, ran});
+    }
+}
+
+void held_worker::end_all(microseconds now, run_end end, worker_events& events)
+{
+    for (const auto& [ref, state] : m_runs)
+        if (!state.foreign)
+            events.push_back({worker_event_kind::ended, m_entry.id, ref, end, {},
+                              now - state.view.sent});
+    m_runs.clear();
+    m_used = {};
+}
+
+void held_worker::drop(std::map<run_ref, run_state>::iterator entry)
+{
+    m_used -= entry->second.view.need;
+    m_runs.erase(entry);
+}
+
+void held_worker::lose(order_result reason, worker_events& events)
+{
+    if (std::exchange(m_lost, true))
+        return;
+    events.push_back({worker_event_kind::lost, m_entry.id, {}, {}, reason, {}});
+}
+
+// Nothing of the former lifetime runs; a start that is still on its way might, so it stays until
+// the raised token has settled it.
+void held_worker::reborn(microseconds now, worker_events& events)
+{
+    for (auto entry = m_runs.begin(); entry != m_runs.end();)
+    {
+        const auto here = entry++;
+        if (here->second.at == stage::starting)
+            continue;
+        const auto run = here->first;
+        const bool ours = !here->second.foreign;
+        const auto ran = now - here->second.view.sent;
+        drop(here);
+        if (ours)
+            events.push_back(
+                {worker_event_kind::ended, m_entry.id, run, run_end::lapsed, {}, ran});
+    }
+    m_born = 0;
+    m_clock_known = false;
+    m_lease_sent_ms = 0;
+    m_ends_seen = 0;
+    raise_fence();
+}
+
+} // namespace egretledge::pool
--- /dev/null
+++ b/src/pool/members.cpp
@@ -0,0 +1,192 @@
+#include "pool/members.hpp"
+#include "core/wire.hpp"
+#include <functional>
+
+namespace egretledge::pool
+{
+
+namespace
+{
+
+// A longer gap between two ticks means that this process did not run.
+constexpr milliseconds pause_gap{250};
+constexpr std::size_t kept_rounds = 64; // 8 s of own heartbeats, beyond every limit above
+
+} // namespace
+
+members::members(members_settings settings) : m_settings(std::move(settings)) {}
+
+void members::introduce(const std::string& name, const std::string& address, action_list& out)
+{
+    if (name == m_settings.self.name || address == m_settings.address || address.empty())
+        return;
+    for (const auto& [known, host] : m_peers)
+        if (host.address == address && known != name && host.heard.count() >= 0)
+            return;
+    auto& host = m_peers[name];
+    if (host.address == address)
+        return;
+    host.address = address;
+    out.push_back(actions::know_peer{name, address});
+}
+
+microseconds members::sent_at(std::uint64_t sequence) const
+{
+    for (const auto& [number, when] : m_sent)
+        if (number == sequence)
+            return when;
+    return microseconds{-1};
+}
+
+void members::tick(microseconds now, const std::function<announcement()>& announce,
+                   action_list& out)
+{
+    if (now - m_last_tick > pause_gap)
+        m_listening_since = now;
+    m_last_tick = now;
+    if (now < m_next_round)
+        return;
+    m_next_round = now + m_settings.beat_every;
+    ++m_sequence;
+    m_sent.emplace_back(m_sequence, now);
+    if (m_sent.size() > kept_rounds)
+        m_sent.pop_front();
+    const auto about = announce();
+    for (auto entry = m_peers.begin(); entry != m_peers.end();)
+    {
+        const auto here = entry++;
+        auto& host = here->second;
+        const bool silent = !alive(here->first, now);
+        if (silent && host.heard.count() >= 0 && m_dead_logged.insert(here->first).second)
+            out.push_back(actions::log_event{
+                true, "event=peer_silent peer=" + here->first + " silent_ms=" +
+                          std::to_string((now - host.heard).count() / 1000)});
+        if (silent && host.heard.count() >= 0 && now - host.heard > m_settings.forget_after)
+        {
+            m_dead_logged.erase(here->first);
+            m_peers.erase(here);
+            continue;
+        }
+        if (now < host.next_beat)
+            continue;
+        host.next_beat = silent ? now + m_settings.silent_beat_every : now;
+        send_beat(now, host, about, out);
+    }
+}
+
+void members::send_beat(microseconds, peer& to, const announcement& about, action_list& out)
+{
+    actions::send_peer message;
+    for (const auto& [name, host] : m_peers)
+        if (&host == &to)
+            message.host = name;
+    auto& beat = *message.message.mutable_pool_beat();
+    beat.set_sequence(m_sequence);
+    beat.set_data_centre(m_settings.data_centre);
+    beat.set_address(m_settings.address);
+    beat.set_leaving(about.leaving);
+    beat.set_config_version(about.config_version);
+    beat.set_echoed_sequence(to.seen_sequence);
+    beat.set_echoed_incarnation(to.ref.incarnation);
+    beat.set_echoed_held_version(to.held_version);
+    beat.set_held_version(about.held_version);
+    beat.set_held_count(static_cast<std::uint32_t>(about.held.size()));
+    beat.set_free_cpu(static_cast<std::uint64_t>(std::max<std::int64_t>(0, about.load.free_cpu)));
+    beat.set_total_cpu(static_cast<std::uint64_t>(about.load.total_cpu));
+    beat.set_wait_ms(static_cast<std::uint32_t>(about.load.wait.count()));
+    if (to.echoed_held != about.held_version)
+    {
+        beat.set_with_held(true);
+        for (const auto& worker : about.held)
+            beat.add_held(worker);
+    }
+    out.push_back(std::move(message));
+}
+
+peer* members::on_beat(microseconds now, const host_ref& from, const wire::PoolBeat& beat,
+                       action_list& out)
+{
+    if (from.name == m_settings.self.name)
+        return nullptr;
+    // A name that was made up for a seed gives way to the host's own.
+    for (auto entry = m_peers.begin(); entry != m_peers.end();)
+    {
+        const auto here = entry++;
+        if (here->first != from.name && here->second.address == beat.address())
+            m_peers.erase(here);
+    }
+    auto& host = m_peers[from.name];
+    if (from.incarnation < host.ref.incarnation)
+        return nullptr;
+    if (from.incarnation > host.ref.incarnation)
+    {
+        const auto address = host.address;
+        host = peer{};
+        host.ref = from;
+        host.address = address;
+    }
+    if (host.address != beat.address())
+    {
+        host.address = beat.address();
+        out.push_back(actions::know_peer{from.name, host.address});
+    }
+    if (!alive(from.name, now) || host.heard.count() < 0)
+    {
+        host.alive_since = now;
+        m_dead_logged.erase(from.name);
+        out.push_back(actions::log_event{
+            false, "event=peer_alive peer=" + from.name +
+                       " incarnation=" + std::to_string(from.incarnation) +
+                       " address=" + host.address});
+    }
+    host.heard = now;
+    host.next_beat = microseconds{0};
+    host.data_centre = beat.data_centre();
+    host.leaving = beat.leaving();
+    host.config_version = beat.config_version();
+    host.load = {static_cast<std::int64_t>(beat.free_cpu()),
+                 static_cast<std::int64_t>(beat.total_cpu()), milliseconds{beat.wait_ms()}};
+    host.load_at = now;
+    host.seen_sequence = beat.sequence();
+    host.held_count = beat.held_count();
+    if (beat.with_held())
+    {
+        host.held_version = beat.held_version();
+        host.held = {beat.held().begin(), beat.held().end()};
+    }
+    if (beat.echoed_incarnation() == m_settings.self.incarnation)
+    {
+        host.echoed_held = beat.echoed_held_version();
+        host.echo_sent = std::max(host.echo_sent, sent_at(beat.echoed_sequence()));
+    }
+    return &host;
+}
+
+bool members::alive(const std::string& name, microseconds now) const
+{
+    const auto* host = find(name);
+    if (host == nullptr || host->heard.count() < 0)
+        return false;
+    const auto since = std::max(host->heard, m_listening_since);
+    return now - since < m_settings.dead_after;
+}
+
+bool members::steady(const peer& host, microseconds now) const
+{
+    return alive(host.ref.name, now) && now - host.alive_since >= m_settings.steady_after;
+}
+
+bool members::hears_us(const host_ref& ref, microseconds now) const
+{
+    const auto* host = find(ref.name);
+    return host != nullptr && host->ref.incarnation == ref.incarnation &&
+           host->echo_sent.count() >= 0 && now - host->echo_sent < m_settings.caller_gone_after;
+}
+
+const peer* members::find(const std::string& name) const
+{
+    const auto host = m_peers.find(name);
+    return host == m_peers.end() ? nullptr : &host->second;
+}
+
+} // namespace egretledge::pool
--- /dev/null
+++ b/src/pool/members.hpp
@@ -0,0 +1,113 @@
+#ifndef EGRETLEDGE_POOL_MEMBERS_HPP
+#define EGRETLEDGE_POOL_MEMBERS_HPP
+
+// Which hosts live, what they hold and how busy they are, from heartbeats.
+//
+// A heartbeat carries the receiver's own latest sequence back to it. So a host knows not only that
+// it hears a peer, but since when the peer has heard it: the age of the newest own heartbeat that
+// came back. Work done for a peer's callers is tied to that age, since a peer that hears nothing
+// has told its callers to come back elsewhere.
+
+#include "pool/pool_types.hpp"
+#include <deque>
+#include <set>
+
+namespace egretledge::pool
+{
+
+struct members_settings
+{
+    host_ref self;
+    std::string data_centre;
+    std::string address; // where this host listens for peers
+    milliseconds beat_every{125};
+    // Silence after which a host counts as dead: three lost heartbeats and the delay of a busy host.
+    milliseconds dead_after{450};
+    // Silence after which a caller's host counts as gone; its caller comes back 1.3 s after.
+    milliseconds caller_gone_after{700};
+    // A host that was dead counts as steady, and may hold workers, after this time.
+    milliseconds steady_after{1000};
+    // A silent peer is tried this often.
+    milliseconds silent_beat_every{1000};
+    // A silent peer that the platform does not list is forgotten.
+    milliseconds forget_after{30000};
+};
+
+struct load_report
+{
+    std::int64_t free_cpu = 0;
+    std::int64_t total_cpu = 0;
+    milliseconds wait{0};
+};
+
+struct peer
+{
+    host_ref ref;
+    std::string data_centre;
+    std::string address;
+    bool leaving = false;
+    std::uint64_t config_version = 0;
+    load_report load;
+    microseconds load_at{0};
+    std::uint64_t held_version = 0;
+    std::set<std::string> held;
+    std::uint32_t held_count = 0;
+
+    microseconds heard{-1};      // the last heartbeat
+    microseconds alive_since{0}; // start of the present unbroken time
+    microseconds echo_sent{-1};  // when the own heartbeat was sent that it has seen last
+    std::uint64_t seen_sequence = 0;
+    std::uint64_t echoed_held = 0; // the version of our holdings that it knows
+    microseconds next_beat{0};
+};
+
+class members
+{
+public:
+    explicit members(members_settings settings);
+
+    // A host that the platform lists, or that a seed names; `name` may be made up for a seed.
+    void introduce(const std::string& name, const std::string& address, action_list& out);
+    // What to announce about this host.
+    struct announcement
+    {
+        bool leaving = false;
+        std::uint64_t config_version = 0;
+        load_report load;
+        std::uint64_t held_version = 0;
+        std::vector<std::string> held;
+    };
+    // Sends the heartbeats that are due; `announce` is asked only then.
+    void tick(microseconds now, const std::function<announcement()>& announce, action_list& out);
+    // Takes a heartbeat. Returns the sender, or null for one of an earlier incarnation.
+    peer* on_beat(microseconds now, const host_ref& from, const wire::PoolBeat& beat,
+                  action_list& out);
+
+    // A host is alive if it was heard lately. After a pause of this process silence counts anew.
+    bool alive(const std::string& name, microseconds now) const;
+    bool steady(const peer& host, microseconds now) const;
+    // False once the host may have given up on this one.
+    bool hears_us(const host_ref& host, microseconds now) const;
+    const peer* find(const std::string& name) const;
+    const std::map<std::string, peer>& all() const { return m_peers; }
+    const members_settings& settings() const { return m_settings; }
+    // When this process last came back from a pause, or began.
+    microseconds listening_since() const { return m_listening_since; }
+
+private:
+    void send_beat(microseconds now, peer& to, const announcement& about, action_list& out);
+    microseconds sent_at(std::uint64_t sequence) const;
+
+    members_settings m_settings;
+    std::map<std::string, peer> m_peers;
+    std::set<std::string> m_dead_logged;
+    std::deque<std::pair<std::uint64_t, microseconds>> m_sent;
+    std::uint64_t m_sequence = 0;
+    microseconds m_next_round{0};
+    microseconds m_last_tick{0};
+    microseconds m_listening_since{0};
+};
+
+} // namespace egretledge::pool
+
+#endif
--- /dev/null
+++ b/src/pool/pool_host.cpp
@@ -0,0 +1,277 @@
+// Ties the parts together: heartbeats tell who holds what, the steward deals out workers, the pool
+// runs jobs on those held here, and the entry brings callers' jobs to pools. Messages to other hosts
+// are one-way; each kind is repeated or bounded by a timer of the part that sent it.
+
+#include "pool/pool_host.hpp"
+#include "core/wire.hpp"
+#include <functional>
+
+namespace egretledge::pool
+{
+
+pool_host::pool_host(pool_host_settings settings)
+    : m_settings(std::move(settings)), m_members(m_settings.members),
+      m_pool(m_settings.workers, m_settings.members.self.incarnation ^
+                                     std::hash<std::string>{}(m_settings.members.self.name)),
+      m_entry(
+          [this]
+          {
+              auto about = m_settings.entry;
+              about.data_centre = m_settings.members.data_centre;
+              return about;
+          }(),
+          m_members, m_pool)
+{
+}
+
+void pool_host::stamp(action_list& out) const
+{
+    for (auto& action : out)
+        if (auto* message = std::get_if<actions::send_peer>(&action))
+            egretledge::to_wire(m_settings.members.self, *message->message.mutable_from());
+}
+
+void pool_host::introduce(const std::string& name, const std::string& address, action_list& out)
+{
+    m_members.introduce(name, address, out);
+}
+
+bool pool_host::set_config(instant, route_config_ptr config, action_list& out)
+{
+    if (m_config && config->version <= m_config->version)
+        return false;
+    out.push_back(actions::log_event{
+        false, "event=config_in_force version=" + std::to_string(config->version) + " former=" +
+                   std::to_string(m_config ? m_config->version : 0) +
+                   " routes=" + std::to_string(config->routes.size())});
+    m_config = std::move(config);
+    return true;
+}
+
+void pool_host::set_registry(instant now, worker_registry registry, action_list& out)
+{
+    // A worker that is missing counts for a while longer: an outage of the store may have lapsed it.
+    for (const auto& [id, entry] : m_registry)
+    {
+        if (registry.contains(id))
+            continue;
+        const auto since = m_vanished.try_emplace(id, now.steady).first->second;
+        if (now.steady - since < m_settings.vanish_grace)
+            registry.emplace(id, entry);
+        else
+            out.push_back(actions::log_event{false, "event=worker_unlisted worker=" + id});
+    }
+    std::erase_if(m_vanished, [&](const auto& item)
+                  { return !registry.contains(item.first) || now.steady - item.second > m_settings.vanish_grace; });
+    for (const auto& [id, entry] : registry)
+    {
+        const auto known = m_registry.find(id);
+        if (known == m_registry.end() || known->second.leaving != entry.leaving)
+            out.push_back(actions::log_event{
+                false, "event=worker_listed worker=" + id + " data_centre=" + entry.data_centre +
+                           " cpu=" + std::to_string(entry.capacity.cpu) +
+                           " leaving=" + (entry.leaving ? "true" : "false")});
+    }
+    m_registry = std::move(registry);
+    m_pool.on_registry(m_registry);
+}
+
+void pool_host::tick(instant now, action_list& out)
+{
+    if (m_began.count() < 0)
+        m_began = now.steady;
+    m_members.tick(
+        now.steady,
+        [&]
+        {
+            return members::announcement{
+                m_leaving,
+                m_config ? m_config->version : 0,
+                {m_pool.free_cpu(now.steady), m_pool.total_cpu(now.steady),
+                 m_pool.expected_wait(now.steady)},
+                m_pool.held_version(),
+                m_pool.held()};
+        },
+        out);
+    m_pool.cancel_callers(
+        now.steady,
+        [&](const caller_ref& caller)
+        {
+            return !caller.host.empty() &&
+                   !m_members.hears_us({caller.host, caller.incarnation}, now.steady);
+        },
+        out);
+    m_pool.tick(now.steady, out);
+    m_entry.tick(now.steady, out);
+    if (now.steady >= m_next_steward)
+    {
+        m_next_steward = now.steady + m_settings.steward_every;
+        take_and_yield(now, out);
+    }
+    pass_results(now, out);
+    stamp(out);
+}
+
+void pool_host::take_and_yield(instant now, action_list& out)
+{
+    const auto listened = now.steady - std::max(m_began, m_members.listening_since());
+    if (listened < m_settings.settle && !m_leaving)
+        return;
+    std::vector<candidate> hosts;
+    const auto& about = m_settings.members;
+    hosts.push_back({about.self.name, about.data_centre,
+                     static_cast<std::uint32_t>(m_pool.held().size()), !m_leaving});
+    std::set<std::string> elsewhere;
+    for (const auto& [name, host] : m_members.all())
+    {
+        if (!m_members.alive(name, now.steady))
+            continue;
+        hosts.push_back({name, host.data_centre, host.held_count,
+                         !host.leaving && m_members.steady(host, now.steady)});
+        elsewhere.insert(host.held.begin(), host.held.end());
+    }
+    const auto held = m_pool.held();
+    const auto plan = choose_workers(m_settings.steward, about.self.name, m_registry, hosts,
+                                     elsewhere, {held.begin(), held.end()});
+    for (const auto& id : plan.take)
+        m_pool.take(now, m_registry.at(id), out);
+    for (const auto& id : plan.yield)
+        m_pool.release(id);
+}
+
+void pool_host::on_job(instant now, std::uint64_t call, job_request job, action_list& out)
+{
+    m_entry.submit(now, call, std::move(job), out);
+    pass_results(now, out);
+    stamp(out);
+}
+
+void pool_host::on_caller_gone(instant now, std::uint64_t call, action_list& out)
+{
+    m_entry.on_caller_gone(now.steady, call, out);
+    pass_results(now, out);
+    stamp(out);
+}
+
+bool pool_host::on_cancel(instant now, const std::string& job, action_list& out)
+{
+    const bool known = m_entry.cancel(now.steady, job, out);
+    pass_results(now, out);
+    stamp(out);
+    return known;
+}
+
+void pool_host::on_worker(instant now, std::uint64_t request, const worker_reply& reply,
+                          action_list& out)
+{
+    m_pool.on_worker(now.steady, request, reply, out);
+    pass_results(now, out);
+    stamp(out);
+}
+
+void pool_host::pass_results(instant now, action_list& out)
+{
+    // Settling one call may hand its job to the own pool again, which may end more.
+    for (auto results = m_pool.take_results(); !results.empty(); results = m_pool.take_results())
+        for (const auto& result : results)
+        {
+            if (result.caller.host.empty())
+            {
+                m_entry.on_own_result(now.steady, result, out);
+                continue;
+            }
+            actions::send_peer message{result.caller.host, {}};
+            auto& reply = *message.message.mutable_pool_result();
+            reply.set_call(result.caller.call);
+            reply.set_id(result.job);
+            reply.set_kind(static_cast<std::uint32_t>(result.answer.kind));
+            reply.set_retry_after_ms(
+                static_cast<std::uint32_t>(result.answer.retry_after.count()));
+            reply.set_declined(result.declined);
+            reply.set_detail(result.answer.detail);
+            out.push_back(std::move(message));
+        }
+}
+
+void pool_host::on_pool_job(instant now, const host_ref& from, const wire::PoolJob& message,
+                            action_list& out)
+{
+    auto job = from_wire(message);
+    const caller_ref caller{from.name, from.incarnation, message.call()};
+    if (job && !m_leaving && m_members.hears_us(from, now.steady))
+        return m_pool.submit(now.steady, std::move(*job), caller, milliseconds{message.age_ms()},
+                             out);
+    actions::send_peer reply{from.name, {}};
+    auto& result = *reply.message.mutable_pool_result();
+    result.set_call(message.call());
+    result.set_id(message.id());
+    result.set_kind(static_cast<std::uint32_t>(job ? answer_kind::over_capacity
+                                                   : answer_kind::bad_request));
+    result.set_declined(job.has_value());
+    result.set_retry_after_ms(1000);
+    result.set_detail(!job ? job.error().message : m_leaving ? "leaving" : "heartbeats not heard");
+    out.push_back(std::move(reply));
+}
+
+void pool_host::offer_config(const host_ref& to, action_list& out)
+{
+    actions::send_peer message{to.name, {}};
+    auto& offer = *message.message.mutable_pool_config();
+    offer.set_version(m_config->version);
+    offer.set_published(m_config->published);
+    out.push_back(std::move(message));
+}
+
+std::optional<std::string> pool_host::on_peer(instant now, const wire::PeerMessage& message,
+                                              action_list& out)
+{
+    const auto from = egretledge::from_wire(message.from());
+    std::optional<std::string> published;
+    switch (message.body_case())
+    {
+    case wire::PeerMessage::kPoolBeat:
+    {
+        const auto* host = m_members.on_beat(now.steady, from, message.pool_beat(), out);
+        if (host != nullptr && m_config && host->config_version < m_config->version)
+            offer_config(from, out);
+        break;
+    }
+    case wire::PeerMessage::kPoolJob: on_pool_job(now, from, message.pool_job(), out); break;
+    case wire::PeerMessage::kPoolResult:
+        m_entry.on_result(now.steady, from.name, message.pool_result(), out);
+        break;
+    case wire::PeerMessage::kPoolCancel:
+        m_pool.cancel(now.steady, message.pool_cancel().id(),
+                      {from.name, from.incarnation, message.pool_cancel().call()}, out);
+        break;
+    case wire::PeerMessage::kPoolConfig:
+        if (!m_config || message.pool_config().version() > m_config->version)
+            published = message.pool_config().published();
+        break;
+    default: break;
+    }
+    pass_results(now, out);
+    stamp(out);
+    return published;
+}
+
+void pool_host::begin_stop(instant now, action_list& out)
+{
+    m_leaving = true;
+    m_entry.close_own_pool();
+    m_pool.give_back_waiting(now.steady, out);
+    pass_results(now, out);
+    stamp(out);
+}
+
+bool pool_host::stopped() const
+{
+    return m_leaving && m_entry.idle() && m_pool.quiet();
+}
+
+bool pool_host::ready(instant now) const
+{
+    return !m_leaving && m_config && m_entry.can_place(now.steady);
+}
+
+} // namespace egretledge::pool
--- /dev/null
+++ b/src/pool/pool_host.hpp
@@ -0,0 +1,86 @@
+#ifndef EGRETLEDGE_POOL_POOL_HOST_HPP
+#define EGRETLEDGE_POOL_POOL_HOST_HPP
+
+// The whole decision logic of one entry host on a platform of pooled workers. Time and messages
+// come in, actions go out; it does no I/O, reads no clock and starts no thread.
+//
+//     pool_host host(settings);
+//     host.set_config(now, config, out);        // from the platform, or by a peer
+//     host.set_registry(now, workers, out);
+//     host.tick(now, out);                      // every 10 to 25 ms
+//     host.on_job(now, call, job, out);         // a caller's job, already routed
+//     for (auto& action : out) carry_out(action);
+
+#include "pool/entry.hpp"
+#include "pool/routes.hpp"
+#include "pool/steward.hpp"
+
+namespace egretledge::pool
+{
+
+struct pool_host_settings
+{
+    members_settings members;
+    worker_pool_settings workers;
+    entry_settings entry; // data_centre is filled in
+    steward_settings steward;
+    // Before it takes workers a new host listens this long for others that hold them.
+    milliseconds settle{700};
+    milliseconds steward_every{100};
+    // A vanished worker may be missing from the registry for about 2 s after an outage of the store.
+    milliseconds vanish_grace{2500};
+};
+
+class pool_host
+{
+public:
+    explicit pool_host(pool_host_settings settings);
+
+    void introduce(const std::string& name, const std::string& address, action_list& out);
+    // False if the version is not newer than the one in force.
+    bool set_config(instant now, route_config_ptr config, action_list& out);
+    void set_registry(instant now, worker_registry registry, action_list& out);
+    void tick(instant now, action_list& out);
+
+    void on_job(instant now, std::uint64_t call, job_request job, action_list& out);
+    void on_caller_gone(instant now, std::uint64_t call, action_list& out);
+    bool on_cancel(instant now, const std::string& job, action_list& out);
+    void on_worker(instant now, std::uint64_t request, const worker_reply& reply, action_list& out);
+    // Returns a published configuration that a peer knows and this host does not, if the message
+    // brings one: the adapter decodes it and calls set_config.
+    std::optional<std::string> on_peer(instant now, const wire::PeerMessage& message,
+                                       action_list& out);
+
+    void begin_stop(instant now, action_list& out);
+    // Nothing is left to do for a caller or on a worker.
+    bool stopped() const;
+    bool leaving() const { return m_leaving; }
+    bool ready(instant now) const;
+    const route_config_ptr& config() const { return m_config; }
+    const worker_pool& workers() const { return m_pool; }
+    const entry& calls() const { return m_entry; }
+    const members& hosts() const { return m_members; }
+
+private:
+    void take_and_yield(instant now, action_list& out);
+    void pass_results(instant now, action_list& out);
+    void on_pool_job(instant now, const host_ref& from, const wire::PoolJob& message,
+                     action_list& out);
+    void offer_config(const host_ref& to, action_list& out);
+    void stamp(action_list& out) const;
+
+    pool_host_settings m_settings;
+    route_config_ptr m_config;
+    worker_registry m_registry;
+    std::map<std::string, microseconds> m_vanished;
+    members m_members;
+    worker_pool m_pool;
+    entry m_entry;
+    microseconds m_began{-1};
+    microseconds m_next_steward{0};
+    bool m_leaving = false;
+};
+
+} // namespace egretledge::pool
+
+#endif
--- /dev/null
+++ b/src/pool/steward.hpp
@@ -0,0 +1,43 @@
+#ifndef EGRETLEDGE_POOL_STEWARD_HPP
+#define EGRETLEDGE_POOL_STEWARD_HPP
+
+// Decides which unheld workers this host should take, and which of its own it should leave to
+// others. A pure function of what is known: two hosts that know the same never choose the same
+// worker; two that know different things may, and then the worker's fence decides.
+
+#include "pool/members.hpp"
+
+namespace egretledge::pool
+{
+
+struct steward_settings
+{
+    // Workers that one host holds. More make packing better; each costs processor time.
+    std::uint32_t most_workers = 24;
+};
+
+// A host as the steward sees it.
+struct candidate
+{
+    std::string name;
+    std::string data_centre;
+    std::uint32_t held = 0;
+    bool may_take = true; // alive for long enough, and not leaving
+};
+
+struct stewardship
+{
+    std::vector<std::string> take;
+    std::vector<std::string> yield; // held here, but a host of the worker's own data centre may take
+};
+
+// `held_elsewhere` are the workers that live hosts announce; `own` are held here. `hosts` includes
+// this one.
+stewardship choose_workers(const steward_settings& settings, const std::string& self,
+                           const worker_registry& registry, const std::vector<candidate>& hosts,
+                           const std::set<std::string>& held_elsewhere,
+                           const std::set<std::string>& own);
+
+} // namespace egretledge::pool
+
+#endif
--- /dev/null
+++ b/src/pool/worker_pool.cpp
@@ -0,0 +1,709 @@
+// Jobs wait in one queue. A job that can still end in time goes before one that cannot, and among
+// those the one that has to start first goes first; late ones run on what is left. Tasks are placed
+// one by one as room comes free, on the worker where the sum of expected time and stranded capacity
+// is smallest: with tasks of two fifths of a worker, pairing a large with a small one keeps more
+// tasks running than spreading them. The trade-off is that a task may go to a slower worker because
+// it fits there better.
+//
+// A job is refused at once if the work ahead of it does not leave it the time that its caller
+// waits, and later only while nothing of it was started. After a start there is no refusal: the
+// answer is complete, failed, or unknown.
+//
+// A worker that fails what others can run is set aside and tested by single tasks, and one that is
+// slow is known by the ratio of actual to expected times. If most workers seem bad, the jobs are.
+
+#include "pool/worker_pool.hpp"
+#include "core/check.hpp"
+#include <algorithm>
+#include <functional>
+
+namespace egretledge::pool
+{
+
+namespace
+{
+
+constexpr milliseconds check_every{25}; // expiry and stuck runs; a fraction of the shortest slack
+constexpr double stranded_ms_per_cpu = 0.002; // 16 ms for half a worker of 16 cores left over
+constexpr double off_rack_factor = 2;         // without the preferred rack a task takes longer
+constexpr double slowness_rate = 0.3;         // weight of the newest run in a worker's slowness
+constexpr double slowness_decay = 0.995;      // a check: a slow worker is tried again after seconds
+constexpr double packing = 0.85;              // the share of capacity that tasks can fill
+constexpr std::uint32_t most_scanned = 64;    // jobs that are looked at for one placement round
+constexpr unsigned fence_identity_bits = 12;
+
+std::string text_of(const run_ref& run)
+{
+    return run.task.job + "." + std::to_string(run.task.step) + "." +
+           std::to_string(run.task.index) + "#" + std::to_string(run.number);
+}
+
+std::int64_t ms(microseconds time)
+{
+    return std::chrono::duration_cast<milliseconds>(time).count();
+}
+
+} // namespace
+
+worker_pool::worker_pool(worker_pool_settings settings, std::uint64_t identity)
+    : m_settings(settings), m_identity(identity & ((1ULL << fence_identity_bits) - 1))
+{
+}
+
+void worker_pool::take(instant now, const worker_entry& entry, action_list& out)
+{
+    if (m_workers.contains(entry.id))
+        return;
+    const auto fence =
+        (static_cast<std::uint64_t>(now.wall.count()) << fence_identity_bits) | m_identity;
+    auto& record =
+        m_workers.emplace(entry.id, worker_record{{m_settings.workers, entry, fence}}).first->second;
+    record.leaving = entry.leaving;
+    ++m_held_version;
+    worker_events events;
+    record.worker.tick(now.steady, m_next_request, out, events);
+}
+
+void worker_pool::on_registry(const worker_registry& registry)
+{
+    for (auto& [id, record] : m_workers)
+    {
+        const auto entry = registry.find(id);
+        record.vanished = entry == registry.end();
+        if (record.vanished)
+            continue;
+        record.leaving = entry->second.leaving;
+        record.worker.set_entry(entry->second);
+    }
+}
+
+bool worker_pool::release(const std::string& worker)
+{
+    const auto record = m_workers.find(worker);
+    if (record == m_workers.end() || !record->second.worker.idle())
+        return false;
+    forget(worker);
+    return true;
+}
+
+void worker_pool::forget(const std::string& worker)
+{
+    m_workers.erase(worker);
+    ++m_held_version;
+}
+
+std::vector<std::string> worker_pool::held() const
+{
+    std::vector<std::string> names;
+    for (const auto& [id, record] : m_workers)
+        names.push_back(id);
+    return names;
+}
+
+std::vector<std::string> worker_pool::idle() const
+{
+    std::vector<std::string> names;
+    for (const auto& [id, record] : m_workers)
+        if (record.worker.idle())
+            names.push_back(id);
+    return names;
+}
+
+milliseconds worker_pool::expected(const job_request& job, const job_step& step) const
+{
+    return std::max(milliseconds{1}, m_run_times.expect(job.terms.route, step.estimate));
+}
+
+bool worker_pool::accepts(const worker_record& record, microseconds now) const
+{
+    if (!record.worker.usable() || record.leaving || record.vanished)
+        return false;
+    if (now < record.quarantined_until)
+        return false;
+    return !record.probation || record.worker.idle();
+}
+
+std::int64_t worker_pool::free_cpu(microseconds now) const
+{
+    std::int64_t sum = 0;
+    for (const auto& [id, record] : m_workers)
+        if (accepts(record, now))
+            sum += record.worker.free().cpu;
+    return sum;
+}
+
+std::int64_t worker_pool::total_cpu(microseconds now) const
+{
+    std::int64_t sum = 0;
+    for (const auto& [id, record] : m_workers)
+        if (accepts(record, now))
+            sum += record.worker.entry().capacity.cpu;
+    return sum;
+}
+
+milliseconds worker_pool::expected_wait(microseconds now) const
+{
+    const auto capacity = static_cast<double>(total_cpu(now)) * packing;
+    if (capacity <= 0)
+        return milliseconds{1000};
+    double work = 0;
+    for (const auto& [id, job] : m_jobs)
+        for (const auto& task : job.tasks)
+        {
+            if (task.stage != task_stage::waiting)
+                continue;
+            const auto& step = job.request.steps[task.step];
+            work += static_cast<double>(step.need.cpu) *
+                    static_cast<double>(expected(job.request, step).count());
+        }
+    return milliseconds{static_cast<std::int64_t>(work / capacity)};
+}
+
+std::size_t worker_pool::waiting_jobs(const std::string& route) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_jobs.begin(), m_jobs.end(),
+                      [&](const auto& entry)
+                      {
+                          return entry.second.starts == 0 &&
+                                 entry.second.request.terms.route == route;
+                      }));
+}
+
+bool worker_pool::fits_somewhere(const job_request& job) const
+{
+    return std::all_of(job.steps.begin(), job.steps.end(),
+                       [&](const job_step& step)
+                       {
+                           return std::any_of(
+                               m_workers.begin(), m_workers.end(),
+                               [&](const auto& entry)
+                               {
+                                   const auto& about = entry.second.worker.entry();
+                                   return about.service == job.terms.service &&
+                                          step.need.fits(about.capacity) && !entry.second.leaving;
+                               });
+                       });
+}
+
+call_answer worker_pool::refusal(answer_kind kind, microseconds now, std::string detail) const
+{
+    return {kind, std::max(m_settings.least_retry_after, expected_wait(now)), std::move(detail)};
+}
+
+void worker_pool::submit(microseconds now, job_request request, const caller_ref& caller,
+                         milliseconds age, action_list& out)
+{
+    const auto known = m_jobs.find(request.id);
+    if (known != m_jobs.end())
+    {
+        // The same job again: the newest call gets the answer, the work goes on.
+        auto& job = known->second;
+        if (job.caller != caller)
+            m_results.push_back({job.caller, request.id,
+                                 {answer_kind::still_running, {}, "a later call took over"}, false});
+        job.caller = caller;
+        job.give_up = now - age + request.terms.wait;
+        return;
+    }
+    open_job job;
+    job.request = std::move(request);
+    job.caller = caller;
+    job.arrived = now - age;
+    std::vector<milliseconds> chain;
+    for (const auto& step : job.request.steps)
+    {
+        milliseconds before{0};
+        for (const auto earlier : step.after)
+            before = std::max(before, chain[earlier]);
+        chain.push_back(before + expected(job.request, step));
+        job.longest = std::max(job.longest, chain.back());
+        job.step_left.push_back(step.count);
+        for (std::uint32_t index = 0; index < step.count; ++index)
+        {
+            task_state task;
+            task.step = static_cast<std::uint32_t>(job.step_left.size() - 1);
+            task.index = index;
+            job.tasks.push_back(std::move(task));
+        }
+    }
+    job.waiting = job.left = static_cast<std::uint32_t>(job.tasks.size());
+    const auto& terms = job.request.terms;
+    const auto allowed = std::chrono::duration_cast<microseconds>(job.longest * terms.stretch) +
+                         microseconds{terms.slack};
+    job.objective = job.arrived + allowed;
+    job.give_up = job.arrived + microseconds{terms.wait};
+    const auto latest =
+        std::min(job.give_up, job.arrived + std::chrono::duration_cast<microseconds>(
+                                                allowed * m_settings.late_factor));
+    const auto wait = expected_wait(now);
+    std::optional<call_answer> refused;
+    if (!fits_somewhere(job.request))
+        refused = refusal(answer_kind::no_worker_fits, now, "no worker of this pool can run it");
+    else if (now + wait + job.longest > latest)
+        refused = refusal(answer_kind::over_capacity, now,
+                          "wait_ms=" + std::to_string(wait.count()));
+    if (refused)
+    {
+        log_job(job, *refused, now, out);
+        m_results.push_back({caller, job.request.id, *refused, true});
+        return;
+    }
+    job.after_former = m_former.contains(job.request.id);
+    m_jobs.emplace(job.request.id, std::move(job));
+    place(now, out);
+}
+
+void worker_pool::log_job(const open_job& job, const call_answer& answer, microseconds now,
+                          action_list& out) const
+{
+    out.push_back(actions::log_event{
+        answer.kind != answer_kind::ok,
+        "event=job_ended job=" + job.request.id + " outcome=" + std::string(name_of(answer.kind)) +
+            " caller_host=" + (job.caller.host.empty() ? "self" : job.caller.host) +
+            " age_ms=" + std::to_string(ms(now - job.arrived)) +
+            " objective_ms=" + std::to_string(ms(job.objective - job.arrived)) +
+            " longest_ms=" + std::to_string(job.longest.count()) +
+            " tasks=" + std::to_string(job.tasks.size()) + " left=" + std::to_string(job.left) +
+            " starts=" + std::to_string(job.starts) +
+            (answer.detail.empty() ? "" : " detail=\"" + answer.detail + "\"")});
+}
+
+bool worker_pool::eligible(const open_job& job, const task_state& task) const
+{
+    const auto& after = job.request.steps[task.step].after;
+    return std::all_of(after.begin(), after.end(),
+                       [&](std::uint32_t step) { return job.step_left[step] == 0; });
+}
+
+worker_pool::worker_record* worker_pool::choose(const open_job& job, const task_state& task,
+                                                microseconds now)
+{
+    const auto& step = job.request.steps[task.step];
+    const auto time = static_cast<double>(expected(job.request, step).count());
+    const auto has_label = [](const worker_entry& about, const std::string& label)
+    { return std::find(about.labels.begin(), about.labels.end(), label) != about.labels.end(); };
+    const auto of_step = [&](const std::string& worker)
+    {
+        return static_cast<std::uint32_t>(std::count_if(
+            job.tasks.begin(), job.tasks.end(), [&](const task_state& other)
+            { return other.step == task.step && other.worker == worker &&
+                     other.stage == task_stage::placed; }));
+    };
+    worker_record* best = nullptr;
+    double best_score = 0;
+    for (auto& [id, record] : m_workers)
+    {
+        const auto& about = record.worker.entry();
+        if (!accepts(record, now) || about.service != job.request.terms.service)
+            continue;
+        const auto free = record.worker.free();
+        if (!step.need.fits(free))
+            continue;
+        if (!step.required_label.empty() && !has_label(about, step.required_label))
+            continue;
+        if (step.most_per_worker > 0 && of_step(id) >= step.most_per_worker)
+            continue;
+        double score = time * record.slowness +
+                       stranded_ms_per_cpu * static_cast<double>(free.cpu - step.need.cpu);
+        if (!step.preferred_rack.empty() && !has_label(about, step.preferred_rack))
+            score += time * (off_rack_factor - 1);
+        if (std::find(task.avoid.begin(), task.avoid.end(), id) != task.avoid.end())
+            score += 10 * time;
+        if (best == nullptr || score < best_score)
+        {
+            best = &record;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+std::vector<worker_pool::open_job*> worker_pool::in_order(microseconds now)
+{
+    std::vector<open_job*> jobs;
+    for (auto& [id, job] : m_jobs)
+        if (job.waiting > 0 && !job.after_former)
+            jobs.push_back(&job);
+    const auto key = [now](const open_job* job)
+    {
+        const auto latest_start = job->objective - job->longest;
+        return std::make_tuple(latest_start < now, latest_start, job->request.terms.priority);
+    };
+    std::sort(jobs.begin(), jobs.end(),
+              [&](const open_job* a, const open_job* b) { return key(a) < key(b); });
+    return jobs;
+}
+
+void worker_pool::place(microseconds now, action_list& out)
+{
+    std::uint32_t scanned = 0;
+    for (auto* job : in_order(now))
+        if (!place_tasks(now, *job, out) && ++scanned >= most_scanned)
+            return;
+}
+
+// Returns false if a task found no room.
+bool worker_pool::place_tasks(microseconds now, open_job& job, action_list& out)
+{
+    for (auto& task : job.tasks)
+    {
+        if (task.stage != task_stage::waiting || !eligible(job, task))
+            continue;
+        auto* record = choose(job, task, now);
+        if (record == nullptr)
+            return false;
+        const run_ref run{{job.request.id, 0, task.step, task.index}, task.next_run++};
+        task.stage = task_stage::placed;
+        task.worker = record->worker.entry().id;
+        --job.waiting;
+        ++job.starts;
+        ++m_totals.starts;
+        record->worker.start(now, run, job.request.steps[task.step].need, job.request.payload,
+                             m_next_request, out);
+    }
+    return true;
+}
+
+void worker_pool::tick(microseconds now, action_list& out)
+{
+    worker_events events;
+    for (auto& [id, record] : m_workers)
+        record.worker.tick(now, m_next_request, out, events);
+    handle(now, events, out);
+    if (now < m_next_check)
+        return;
+    m_next_check = now + check_every;
+    std::vector<std::string> gone;
+    for (auto& [id, record] : m_workers)
+    {
+        record.slowness = 1 + (record.slowness - 1) * slowness_decay;
+        const bool silent = record.worker.silent_since().count() != 0;
+        if (record.worker.idle() && (record.leaving || (record.vanished && silent)))
+            gone.push_back(id);
+    }
+    for (const auto& id : gone)
+        forget(id);
+    expire(now, out);
+    stop_stuck(now, out);
+    place(now, out);
+}
+
+bool worker_pool::on_worker(microseconds now, std::uint64_t request, const worker_reply& reply,
+                            action_list& out)
+{
+    worker_events events;
+    bool found = false;
+    for (auto& [id, record] : m_workers)
+    {
+        found = record.worker.on_reply(now, request, reply, m_next_request, out, events);
+        if (found)
+        {
+            if (reply.result == order_result::unhealthy)
+                record.quarantined_until =
+                    std::max(record.quarantined_until, now + m_settings.unhealthy_pause);
+            if (reply.result == order_result::no_answer)
+                ++m_totals.doubts;
+            break;
+        }
+    }
+    if (!events.empty())
+    {
+        handle(now, events, out);
+        place(now, out);
+    }
+    return found;
+}
+
+worker_pool::open_job* worker_pool::find(const task_name& name, task_state*& state)
+{
+    const auto job = m_jobs.find(name.job);
+    if (job == m_jobs.end())
+        return nullptr;
+    for (auto& task : job->second.tasks)
+        if (task.step == name.step && task.index == name.index)
+        {
+            state = &task;
+            return &job->second;
+        }
+    return nullptr;
+}
+
+void worker_pool::handle(microseconds now, const worker_events& events, action_list& out)
+{
+    for (const auto& event : events)
+        on_event(now, event, out);
+}
+
+void worker_pool::on_event(microseconds now, const worker_event& event, action_list& out)
+{
+    if (event.kind == worker_event_kind::taken)
+    {
+        out.push_back(actions::log_event{false, "event=worker_taken worker=" + event.worker});
+        return;
+    }
+    if (event.kind == worker_event_kind::lost)
+        return on_lost(now, event, out);
+    const auto former = m_former.find(event.run.task.job);
+    if (former != m_former.end() && former->second.erase(event.run) > 0)
+    {
+        if (event.end != run_end::done)
+            ++m_totals.wasted;
+        if (!former->second.empty())
+            return;
+        m_former.erase(former);
+        const auto job = m_jobs.find(event.run.task.job);
+        if (job != m_jobs.end())
+            job->second.after_former = false;
+        return;
+    }
+    if (event.kind == worker_event_kind::ended)
+        return on_ended(now, event, out);
+    task_state* task = nullptr;
+    auto* job = find(event.run.task, task);
+    if (job == nullptr || task->stage != task_stage::placed ||
+        task->next_run != event.run.number + 1)
+        return;
+    task->stage = task_stage::waiting;
+    ++job->waiting;
+    --job->starts;
+    out.push_back(actions::log_event{true, "event=start_refused run=" + text_of(event.run) +
+                                               " worker=" + event.worker +
+                                               " reason=" + std::string(name_of(event.reason))});
+    if (event.reason == order_result::stale_run)
+        task->next_run *= 2; // numbers of an earlier submission's runs are not known here
+    if (event.reason == order_result::malformed)
+        task_failed(now, nullptr, *job, *task, out);
+}
+
+void worker_pool::learn(worker_record& record, const open_job& job, const task_state& task,
+                        microseconds ran)
+{
+    const auto& step = job.request.steps[task.step];
+    const auto time = expected(job.request, step);
+    const double ratio = static_cast<double>(ran.count()) /
+                         static_cast<double>(microseconds{time}.count());
+    record.slowness += slowness_rate * (ratio - record.slowness);
+    m_run_times.learn(job.request.terms.route, step.estimate, ran);
+}
+
+void worker_pool::on_ended(microseconds now, const worker_event& event, action_list& out)
+{
+    const auto worker = m_workers.find(event.worker);
+    auto* record = worker == m_workers.end() ? nullptr : &worker->second;
+    if (event.end != run_end::done && event.end != run_end::failed)
+        ++m_totals.wasted;
+    task_state* task = nullptr;
+    auto* job = find(event.run.task, task);
+    if (job == nullptr || task->stage != task_stage::placed ||
+        task->next_run != event.run.number + 1)
+        return;
+    if (event.end == run_end::done)
+    {
+        ++m_totals.done;
+        task->stage = task_stage::done;
+        --job->left;
+        --job->step_left[task->step];
+        if (record != nullptr)
+        {
+            learn(*record, *job, *task, event.ran);
+            record->failures = 0;
+            record->probation = false;
+            record->quarantine = milliseconds{0};
+        }
+        if (job->left == 0)
+            finish(now, *job, {answer_kind::ok, {}, {}}, false, out);
+        return;
+    }
+    out.push_back(actions::log_event{
+        true, "event=run_ended run=" + text_of(event.run) + " worker=" + event.worker +
+                  " end=" + std::string(name_of(event.end)) +
+                  " ran_ms=" + std::to_string(ms(event.ran))});
+    task->stage = task_stage::waiting;
+    ++job->waiting;
+    if (event.end == run_end::failed)
+        return task_failed(now, record, *job, *task, out);
+    task->avoid.push_back(event.worker);
+}
+
+void worker_pool::task_failed(microseconds now, worker_record* record, open_job& job,
+                              task_state& task, action_list& out)
+{
+    ++m_totals.failed;
+    if (record != nullptr)
+    {
+        // A task that has failed elsewhere already says nothing about this worker.
+        if (task.failures == 0 && (record->probation || ++record->failures >= m_settings.most_failures))
+        {
+            record->quarantine = std::clamp(record->quarantine * 2, m_settings.first_quarantine,
+                                            m_settings.longest_quarantine);
+            record->quarantined_until = now + record->quarantine;
+            record->probation = true;
+            out.push_back(actions::log_event{
+                true, "event=worker_set_aside worker=" + record->worker.entry().id +
+                          " failures=" + std::to_string(record->failures) +
+                          " for_ms=" + std::to_string(record->quarantine.count())});
+        }
+        task.avoid.push_back(record->worker.entry().id);
+    }
+    if (++task.failures >= job.request.terms.most_attempts)
+        finish(now, job, {answer_kind::task_failed, {}, "a task used up its attempts"}, false, out);
+}
+
+void worker_pool::on_lost(microseconds now, const worker_event& event, action_list& out)
+{
+    ++m_totals.lost_workers;
+    const auto record = m_workers.find(event.worker);
+    if (record == m_workers.end())
+        return;
+    out.push_back(actions::log_event{true, "event=worker_lost worker=" + event.worker + " reason=" +
+                                               std::string(name_of(event.reason)) + " runs=" +
+                                               std::to_string(record->second.worker.runs().size())});
+    std::vector<run_ref> runs;
+    for (const auto& view : record->second.worker.runs())
+        runs.push_back(view.run);
+    forget(event.worker);
+    const bool over = event.reason == order_result::other_lifetime;
+    for (const auto& run : runs)
+    {
+        if (over)
+        {
+            on_event(now, {worker_event_kind::ended, event.worker, run, run_end::lapsed, {}, {}},
+                     out);
+            continue;
+        }
+        const auto former = m_former.find(run.task.job);
+        if (former != m_former.end() && former->second.erase(run) > 0)
+        {
+            if (former->second.empty())
+                m_former.erase(former);
+            continue;
+        }
+        // The new holder stops it; whether it had ended by then is not known here.
+        task_state* task = nullptr;
+        if (auto* job = find(run.task, task))
+            finish(now, *job, {answer_kind::worker_lost, {}, "another host took the worker"}, false,
+                   out);
+    }
+}
+
+void worker_pool::stop_runs(microseconds now, const open_job& job, action_list& out)
+{
+    std::set<std::string> workers;
+    for (const auto& task : job.tasks)
+        if (task.stage == task_stage::placed)
+            workers.insert(task.worker);
+    for (const auto& id : workers)
+    {
+        const auto record = m_workers.find(id);
+        if (record == m_workers.end())
+            continue;
+        for (const auto& view : record->second.worker.runs())
+        {
+            if (view.run.task.job != job.request.id)
+                continue;
+            m_former[job.request.id].insert(view.run);
+            record->second.worker.stop(now, view.run, m_next_request, out);
+        }
+    }
+}
+
+void worker_pool::finish(microseconds now, open_job& job, call_answer answer, bool declined,
+                         action_list& out)
+{
+    log_job(job, answer, now, out);
+    stop_runs(now, job, out);
+    const auto id = job.request.id;
+    m_results.push_back({job.caller, id, std::move(answer), declined});
+    m_jobs.erase(id);
+}
+
+void worker_pool::cancel(microseconds now, const std::string& id, const caller_ref& caller,
+                         action_list& out)
+{
+    const auto job = m_jobs.find(id);
+    if (job == m_jobs.end() || job->second.caller != caller)
+        return;
+    finish(now, job->second, {answer_kind::cancelled, {}, "the caller has gone"}, false, out);
+}
+
+void worker_pool::cancel_callers(microseconds now,
+                                 const std::function<bool(const caller_ref&)>& gone,
+                                 action_list& out)
+{
+    std::vector<std::string> ids;
+    for (const auto& [id, job] : m_jobs)
+        if (gone(job.caller))
+            ids.push_back(id);
+    for (const auto& id : ids)
+        finish(now, m_jobs.at(id), {answer_kind::cancelled, {}, "the caller's host is silent"},
+               false, out);
+}
+
+void worker_pool::give_back_waiting(microseconds now, action_list& out)
+{
+    std::vector<std::string> ids;
+    for (const auto& [id, job] : m_jobs)
+        if (job.starts == 0)
+            ids.push_back(id);
+    for (const auto& id : ids)
+        finish(now, m_jobs.at(id), refusal(answer_kind::over_capacity, now, "this host is leaving"),
+               true, out);
+}
+
+void worker_pool::expire(microseconds now, action_list& out)
+{
+    std::vector<std::string> waiting;
+    std::vector<std::string> overdue;
+    for (const auto& [id, job] : m_jobs)
+    {
+        const auto allowed = job.objective - job.arrived;
+        const auto latest = job.arrived + std::chrono::duration_cast<microseconds>(
+                                              allowed * m_settings.late_factor);
+        if (now >= job.give_up)
+            overdue.push_back(id);
+        else if (job.starts == 0 && now + job.longest > std::min(latest, job.give_up))
+            waiting.push_back(id);
+    }
+    for (const auto& id : waiting)
+        finish(now, m_jobs.at(id),
+               refusal(answer_kind::expired_in_queue, now, "no room came free in time"), false, out);
+    for (const auto& id : overdue)
+    {
+        auto& job = m_jobs.at(id);
+        const auto kind =
+            job.starts == 0 ? answer_kind::expired_in_queue : answer_kind::deadline_passed;
+        finish(now, job, refusal(kind, now, "the caller waits no longer"), false, out);
+    }
+}
+
+void worker_pool::stop_stuck(microseconds now, action_list& out)
+{
+    constexpr std::uint32_t half = 50;
+    for (auto& [id, record] : m_workers)
+        for (const auto& view : record.worker.runs())
+        {
+            if (view.stopping)
+                continue;
+            task_state* task = nullptr;
+            auto* job = find(view.run.task, task);
+            if (job == nullptr)
+                continue;
+            const auto time = expected(job->request, job->request.steps[task->step]);
+            const auto limit = std::chrono::duration_cast<microseconds>(
+                                   time * m_settings.stuck_factor) +
+                               microseconds{m_settings.stuck_slack};
+            if (now - view.sent < limit || view.percent >= half || view.percent_at <= view.sent)
+                continue;
+            out.push_back(actions::log_event{
+                true, "event=run_stuck run=" + text_of(view.run) + " worker=" + id +
+                          " ran_ms=" + std::to_string(ms(now - view.sent)) +
+                          " expected_ms=" + std::to_string(time.count()) +
+                          " percent=" + std::to_string(view.percent) +
+                          " percent_age_ms=" + std::to_string(ms(now - view.percent_at))});
+            record.slowness = std::max(record.slowness, m_settings.stuck_factor);
+            record.worker.stop(now, view.run, m_next_request, out);
+        }
+}
+
+} // namespace egretledge::pool
--- /dev/null
+++ b/src/pool/worker_pool.hpp
@@ -0,0 +1,190 @@
+#ifndef EGRETLEDGE_POOL_WORKER_POOL_HPP
+#define EGRETLEDGE_POOL_WORKER_POOL_HPP
+
+// The workers that this host holds, and the jobs that it runs on them. Jobs come in with the call
+// that waits for them; what became of each comes out once, as a pool_result.
+
+#include "core/run_times.hpp"
+#include "pool/held_worker.hpp"
+#include <set>
+
+namespace egretledge::pool
+{
+
+struct worker_pool_settings
+{
+    held_worker_settings workers;
+    // A job that cannot end within this many times its objective is refused: nobody waits longer.
+    double late_factor = 3;
+    // A task counts as stuck when it has run for `stuck_factor` times its expected time and
+    // `stuck_slack` more with less than half of its progress made.
+    double stuck_factor = 3;
+    milliseconds stuck_slack{150};
+    // A worker that fails this many tasks in a row which others can run is left alone for a while.
+    std::uint32_t most_failures = 2;
+    milliseconds first_quarantine{500};
+    milliseconds longest_quarantine{8000};
+    // A worker that answered that it is unhealthy gets no start for this long.
+    milliseconds unhealthy_pause{300};
+    // The shortest Retry-After: the unit of the header is a second.
+    milliseconds least_retry_after{1000};
+};
+
+// Who waits for a job: a call at this host (empty name) or at another one.
+struct caller_ref
+{
+    std::string host;
+    std::uint64_t incarnation = 0;
+    std::uint64_t call = 0;
+    bool operator==(const caller_ref&) const = default;
+};
+
+struct pool_result
+{
+    caller_ref caller;
+    std::string job;
+    call_answer answer;
+    bool declined = false; // nothing was started; another pool may be asked
+};
+
+class worker_pool
+{
+public:
+    worker_pool(worker_pool_settings settings, std::uint64_t identity);
+
+    // Begins to hold a worker. `wall` makes its fencing token.
+    void take(instant now, const worker_entry& entry, action_list& out);
+    // The registry changed: workers that leave get nothing new, vanished ones are let go when idle.
+    void on_registry(const worker_registry& registry);
+    // Lets an idle worker go, so that another host may take it; false if it is not idle.
+    bool release(const std::string& worker);
+    bool holds(const std::string& worker) const { return m_workers.contains(worker); }
+    std::vector<std::string> held() const;
+    std::vector<std::string> idle() const;
+    // Rises whenever the set of held workers changes.
+    std::uint64_t held_version() const { return m_held_version; }
+
+    // `age` is the time that has passed since the caller's submission.
+    void submit(microseconds now, job_request job, const caller_ref& caller, milliseconds age,
+                action_list& out);
+    // The caller has gone: its job ends without an answer, and its runs are stopped.
+    void cancel(microseconds now, const std::string& job, const caller_ref& caller,
+                action_list& out);
+    // Cancels the jobs of callers for which `gone` holds.
+    void cancel_callers(microseconds now, const std::function<bool(const caller_ref&)>& gone,
+                        action_list& out);
+    // Gives back all jobs of which nothing was started, for another pool.
+    void give_back_waiting(microseconds now, action_list& out);
+
+    void tick(microseconds now, action_list& out);
+    bool on_worker(microseconds now, std::uint64_t request, const worker_reply& reply,
+                   action_list& out);
+    std::vector<pool_result> take_results() { return std::exchange(m_results, {}); }
+
+    // Load as announced to other hosts.
+    std::int64_t free_cpu(microseconds now) const;
+    std::int64_t total_cpu(microseconds now) const;
+    milliseconds expected_wait(microseconds now) const;
+    std::size_t open_jobs() const { return m_jobs.size(); }
+    std::size_t waiting_jobs(const std::string& route) const;
+    bool quiet() const { return m_jobs.empty() && idle().size() == m_workers.size(); }
+
+    struct totals
+    {
+        std::uint64_t starts = 0;
+        std::uint64_t done = 0;
+        std::uint64_t failed = 0;
+        std::uint64_t wasted = 0; // runs that were stopped, lapsed or broken
+        std::uint64_t doubts = 0; // starts without an answer
+        std::uint64_t lost_workers = 0;
+    };
+    const totals& counts() const { return m_totals; }
+
+private:
+    enum class task_stage : std::uint8_t
+    {
+        waiting,
+        placed,
+        done
+    };
+    struct task_state
+    {
+        std::uint32_t step = 0;
+        std::uint32_t index = 0;
+        task_stage stage = task_stage::waiting;
+        std::uint32_t failures = 0;
+        std::uint64_t next_run = 1;
+        std::string worker;
+        std::vector<std::string> avoid;
+    };
+    struct open_job
+    {
+        job_request request;
+        caller_ref caller;
+        microseconds arrived{0};
+        microseconds objective{0}; // in time until then
+        microseconds give_up{0};   // nobody waits longer
+        milliseconds longest{0};   // expected time of its longest chain
+        std::vector<task_state> tasks;
+        std::vector<std::uint32_t> step_left;
+        std::uint32_t waiting = 0;
+        std::uint32_t left = 0;
+        std::int64_t starts = 0; // sent and not known to have had no effect
+        bool after_former = false; // runs of an earlier submission of this id are still ending
+    };
+    struct worker_record
+    {
+        held_worker worker;
+        bool leaving = false;
+        bool vanished = false;
+        double slowness = 1; // actual over expected time, learned
+        std::uint32_t failures = 0;
+        microseconds quarantined_until{0};
+        milliseconds quarantine{0};
+        bool probation = false;
+    };
+
+    milliseconds expected(const job_request& job, const job_step& step) const;
+    bool accepts(const worker_record& record, microseconds now) const;
+    worker_record* choose(const open_job& job, const task_state& task, microseconds now);
+    bool fits_somewhere(const job_request& job) const;
+    void place(microseconds now, action_list& out);
+    bool place_tasks(microseconds now, open_job& job, action_list& out);
+    bool eligible(const open_job& job, const task_state& task) const;
+    std::vector<open_job*> in_order(microseconds now);
+    void handle(microseconds now, const worker_events& events, action_list& out);
+    void on_event(microseconds now, const worker_event& event, action_list& out);
+    void on_ended(microseconds now, const worker_event& event, action_list& out);
+    void on_lost(microseconds now, const worker_event& event, action_list& out);
+    void task_failed(microseconds now, worker_record* record, open_job& job, task_state& task,
+                     action_list& out);
+    void learn(worker_record& record, const open_job& job, const task_state& task,
+               microseconds ran);
+    void expire(microseconds now, action_list& out);
+    void stop_stuck(microseconds now, action_list& out);
+    void finish(microseconds now, open_job& job, call_answer answer, bool declined,
+                action_list& out);
+    void stop_runs(microseconds now, const open_job& job, action_list& out);
+    void forget(const std::string& worker);
+    open_job* find(const task_name& task, task_state*& state);
+    call_answer refusal(answer_kind kind, microseconds now, std::string detail) const;
+    void log_job(const open_job& job, const call_answer& answer, microseconds now,
+                 action_list& out) const;
+
+    worker_pool_settings m_settings;
+    std::uint64_t m_identity;
+    std::uint64_t m_next_request = 1;
+    std::map<std::string, worker_record> m_workers;
+    std::uint64_t m_held_version = 1;
+    std::map<std::string, open_job> m_jobs;
+    // Runs of ended jobs that are not over yet, by job: a new submission of the id waits for them.
+    std::map<std::string, std::set<run_ref>> m_former;
+    run_times m_run_times;
+    std::vector<pool_result> m_results;
+    microseconds m_next_check{0};
+    totals m_totals;
+};
+
+} // namespace egretledge::pool
+
+#endif
