--- a/src/pool/entry.cpp
+++ b/src/pool/entry.cpp
@@ -263,6 +263,7 @@
             " pool=" + (call.pool.empty() ? "self" : call.pool) +
             " tried=" + std::to_string(call.tried.size()) +
             " age_ms=" + std::to_string((now - call.arrived).count() / 1000) +
+            " wait_ms=" + std::to_string(call.job.terms.wait.count()) +
             (answer.retry_after.count() > 0
                  ? " retry_after_ms=" + std::to_string(answer.retry_after.count())
                  : "") +
