A returning host listens until it has heard every host it knows of; stops end connections one by one

Ruled out: fences and leases, whose traces are right. A host announces whether it is settled; unsettled ones take nothing. New peers are tried at every heartbeat and told who else there is.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -61,8 +61,8 @@
     return message;
 }
 
-// A connection that went silent without a reset is found by keep-alive probes within about 3 s, also
-// while a long poll waits on it.
+// A connection that went silent without a reset is found by keep-alive probes within about 3 s,
+// also while a long poll waits on it.
 void set_socket_options(tcp::socket& socket)
 {
     constexpr int probe_s = 1;
@@ -147,8 +147,9 @@
     void drop_stale()
     {
         const auto limit = std::chrono::steady_clock::now() - m_idle_limit;
-        const auto fresh = std::find_if(m_idle.begin(), m_idle.end(), [&](const exchange_ptr& work)
-                                        { return work->idle_since > limit; });
+        const auto fresh =
+            std::find_if(m_idle.begin(), m_idle.end(),
+                         [&](const exchange_ptr& work) { return work->idle_since > limit; });
         for (auto stale = m_idle.begin(); stale != fresh; ++stale)
             (*stale)->stream.close();
         m_idle.erase(m_idle.begin(), fresh);
@@ -259,8 +260,7 @@
         const std::lock_guard lock(m_guard);
         auto& entry = m_pools[call.address];
         if (!entry)
-            entry = std::make_shared<pool>(m_context, call.address, m_connections,
-                                           m_idle_limit);
+            entry = std::make_shared<pool>(m_context, call.address, m_connections, m_idle_limit);
         target = entry;
     }
     target->send(std::move(call), std::move(done));
--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -27,6 +27,7 @@
     http_server_settings settings;
     http_handler handler;
     std::optional<net::ssl::context> tls;
+    std::atomic<bool> draining{false};
     std::atomic<bool> stopping{false};
     std::atomic<std::uint32_t> connections{0};
     std::atomic<std::uint64_t> next_number{1};
@@ -145,21 +146,21 @@
     void watch(std::uint64_t number)
     {
         m_watching = number;
-        m_stream.socket().async_wait(
-            tcp::socket::wait_read,
-            [self = this->shared_from_this(), number](error_code code)
-            {
-                if (code || self->m_watching != number)
-                    return;
-                self->m_watching = 0;
-                char byte = 0;
-                const auto got = ::recv(self->m_stream.socket().native_handle(), &byte, 1,
-                                        MSG_PEEK | MSG_DONTWAIT);
-                if (got > 0 || (got < 0 && errno == EAGAIN))
-                    return;
-                self->m_keep = false;
-                self->m_common->settings.on_gone(number);
-            });
+        m_stream.socket().async_wait(tcp::socket::wait_read,
+                                     [self = this->shared_from_this(), number](error_code code)
+                                     {
+                                         if (code || self->m_watching != number)
+                                             return;
+                                         self->m_watching = 0;
+                                         char byte = 0;
+                                         const auto got =
+                                             ::recv(self->m_stream.socket().native_handle(), &byte,
+                                                    1, MSG_PEEK | MSG_DONTWAIT);
+                                         if (got > 0 || (got < 0 && errno == EAGAIN))
+                                             return;
+                                         self->m_keep = false;
+                                         self->m_common->settings.on_gone(number);
+                                     });
     }
 
     void end_watch()
@@ -179,7 +180,7 @@
         m_response.set(http::field::content_type, response.content_type);
         if (response.retry_after_s > 0)
             m_response.set(http::field::retry_after, std::to_string(response.retry_after_s));
-        m_keep = m_keep && !m_common->stopping;
+        m_keep = m_keep && !m_common->draining;
         m_response.keep_alive(m_keep);
         m_response.body() = std::move(response.body);
         m_response.prepare_payload();
@@ -307,8 +308,14 @@
     return m_shared->connections;
 }
 
+void http_server::drain()
+{
+    m_shared->draining = true;
+}
+
 void http_server::stop()
 {
+    drain();
     m_shared->stopping = true;
     m_listener->close();
 }
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -23,9 +23,9 @@
     std::string path;
     std::string query;
     std::string body;
-    std::string bearer;          // of the Authorization header
-    std::string idempotency_key; // of the header of that name
-    std::string host;            // of the Host header
+    std::string bearer;           // of the Authorization header
+    std::string idempotency_key;  // of the header of that name
+    std::string host;             // of the Host header
     std::uint32_t timeout_ms = 0; // of the Timeout-Ms header; 0 if absent or not a number
     // Tells one request of this server from another; see http_server_settings::on_gone.
     std::uint64_t number = 0;
@@ -70,6 +70,8 @@
     ~http_server();
 
     std::uint16_t port() const;
+    // From now on every answer ends its connection, so that callers move elsewhere one by one.
+    void drain();
     // Accepts no more connections; open requests are still answered, then closed.
     void stop();
     std::uint32_t connections() const;
--- a/src/pool/entry.cpp
+++ b/src/pool/entry.cpp
@@ -1,8 +1,8 @@
-// A job goes as a whole to one pool: the own data centre's unless another one would start it clearly
-// sooner. The cost of a pool is the wait that it announced plus the time until the job's missing
-// room comes free; room that was promised away since the announcement counts as used. A pool that
-// declines has started nothing, so the next one is asked, each at most once. The trade-off against
-// asking several at once: one more round trip on a decline, and no double work.
+// A job goes as a whole to one pool: the own data centre's unless another one would start it
+// clearly sooner. The cost of a pool is the wait that it announced plus the time until the job's
+// missing room comes free; room that was promised away since the announcement counts as used. A
+// pool that declines has started nothing, so the next one is asked, each at most once. The
+// trade-off against asking several at once: one more round trip on a decline, and no double work.
 //
 // A pool that falls silent leaves its jobs unknown: their tasks may have run. The caller is told so
 // at once and comes back; by then leases have ended what still ran.
@@ -17,7 +17,7 @@
 namespace
 {
 
-constexpr std::uint32_t most_tasks = 2000; // as for the product's own jobs
+constexpr std::uint32_t most_tasks = 2000;       // as for the product's own jobs
 constexpr milliseconds retry_when_nowhere{1000}; // a takeover of workers takes about that long
 
 std::int64_t cpu_of(const job_request& job)
@@ -114,8 +114,7 @@
     const auto missing = std::max<std::int64_t>(0, cpu - free);
     const auto total = static_cast<double>(std::max<std::int64_t>(1, load.total_cpu));
     return static_cast<double>(load.wait.count()) +
-           static_cast<double>(missing) / total *
-               static_cast<double>(m_settings.turnover.count());
+           static_cast<double>(missing) / total * static_cast<double>(m_settings.turnover.count());
 }
 
 std::optional<std::string> entry::choose(microseconds now, const open_call& call) const
@@ -186,7 +185,8 @@
     const auto pool = choose(now.steady, kept);
     if (!pool)
         return settle(now.steady, number,
-                      {answer_kind::no_worker_fits, retry_when_nowhere, "no workers in reach"}, out);
+                      {answer_kind::no_worker_fits, retry_when_nowhere, "no workers in reach"},
+                      out);
     kept.pool = *pool;
     send(now.steady, kept, out);
 }
@@ -251,10 +251,18 @@
     const auto& call = found->second;
     switch (row_of(answer.kind).result)
     {
-    case outcome::complete: ++m_totals.complete; break;
-    case outcome::failed: ++m_totals.failed; break;
-    case outcome::not_run: ++m_totals.refused; break;
-    default: ++m_totals.unknown; break;
+    case outcome::complete:
+        ++m_totals.complete;
+        break;
+    case outcome::failed:
+        ++m_totals.failed;
+        break;
+    case outcome::not_run:
+        ++m_totals.refused;
+        break;
+    default:
+        ++m_totals.unknown;
+        break;
     }
     out.push_back(actions::log_event{
         answer.kind != answer_kind::ok,
@@ -296,8 +304,8 @@
     m_calls.erase(found);
     m_by_job.erase(call.job.id);
     out.push_back(actions::log_event{
-        true, "event=caller_gone job=" + call.job.id + " age_ms=" +
-                  std::to_string((now - call.arrived).count() / 1000)});
+        true, "event=caller_gone job=" + call.job.id +
+                  " age_ms=" + std::to_string((now - call.arrived).count() / 1000)});
     if (call.pool.empty())
         m_own.cancel(now, call.job.id, {{}, 0, number}, out);
     else
@@ -322,7 +330,8 @@
 {
     std::vector<std::uint64_t> unknown;
     std::vector<std::uint64_t> overdue;
-    constexpr milliseconds answer_slack{50}; // the pool gives up first; its answer may be on its way
+    constexpr milliseconds answer_slack{
+        50}; // the pool gives up first; its answer may be on its way
     for (const auto& [number, call] : m_calls)
     {
         if (!call.pool.empty())
--- a/src/pool/held_worker.cpp
+++ b/src/pool/held_worker.cpp
@@ -27,7 +27,7 @@
 namespace
 {
 
-constexpr std::uint64_t first_fence_step = 1ULL << 12;  // one millisecond of the token's time part
+constexpr std::uint64_t first_fence_step = 1ULL << 12;   // one millisecond of the token's time part
 constexpr std::uint64_t longest_fence_step = 1ULL << 26; // 16 s: more than clocks may differ
 constexpr std::uint32_t most_open_holds = 2;
 constexpr milliseconds hold_slack{200}; // on top of a hold's own wait; a round trip and a busy host
@@ -112,8 +112,8 @@
     m_used += need;
     const auto request = next_request++;
     m_orders[request] = {order_kind::start, run, m_fence, now};
-    out.push_back(actions::start_run{request, m_entry.id, m_entry.address, m_fence,
-                                     next_lease(now), run, payload, m_settings.order_timeout});
+    out.push_back(actions::start_run{request, m_entry.id, m_entry.address, m_fence, next_lease(now),
+                                     run, payload, m_settings.order_timeout});
     if (m_open_holds == 0)
         send_hold(now, m_settings.renew, next_request, out);
     m_next_hold = now + m_settings.renew;
@@ -194,8 +194,12 @@
     }
     switch (order.kind)
     {
-    case order_kind::hold: on_hold(now, order, reply, events); break;
-    case order_kind::start: on_start(now, order, reply, events); break;
+    case order_kind::hold:
+        on_hold(now, order, reply, events);
+        break;
+    case order_kind::start:
+        on_start(now, order, reply, events);
+        break;
     case order_kind::stop:
         if (reply.result == order_result::other_lifetime)
             lose(reply.result, events);
@@ -220,7 +224,8 @@
 {
     switch (reply.result)
     {
-    case order_result::accepted: break;
+    case order_result::accepted:
+        break;
     case order_result::stale_fence:
         if (order.fence < m_fence)
             return;
@@ -229,8 +234,10 @@
         raise_fence();
         m_next_hold = now + m_settings.retry;
         return;
-    case order_result::other_lifetime: return lose(reply.result, events);
-    default: return note_silence(now);
+    case order_result::other_lifetime:
+        return lose(reply.result, events);
+    default:
+        return note_silence(now);
     }
     m_silent_since = microseconds{0};
     if (m_born != 0 && reply.born_ms != 0 && reply.born_ms != m_born)
@@ -262,8 +269,7 @@
         if (!open)
             return;
         drop(entry);
-        events.push_back(
-            {worker_event_kind::not_started, m_entry.id, order.run, {}, reason, {}});
+        events.push_back({worker_event_kind::not_started, m_entry.id, order.run, {}, reason, {}});
     };
     switch (reply.result)
     {
@@ -290,7 +296,8 @@
     case order_result::unreachable:
         not_started(reply.result);
         return note_silence(now);
-    default: return not_started(reply.result);
+    default:
+        return not_started(reply.result);
     }
 }
 
@@ -353,11 +360,10 @@
         if (!ours)
             continue;
         if (never)
-            events.push_back({worker_event_kind::not_started, m_entry.id, run, {},
-                              order_result::no_answer, {}});
-        else
             events.push_back(
-                {worker_event_kind::ended, m_entry.id, run, run_end::lapsed, {}, ran});
+                {worker_event_kind::not_started, m_entry.id, run, {}, order_result::no_answer, {}});
+        else
+            events.push_back({worker_event_kind::ended, m_entry.id, run, run_end::lapsed, {}, ran});
     }
 }
 
@@ -365,8 +371,8 @@
 {
     for (const auto& [ref, state] : m_runs)
         if (!state.foreign)
-            events.push_back({worker_event_kind::ended, m_entry.id, ref, end, {},
-                              now - state.view.sent});
+            events.push_back(
+                {worker_event_kind::ended, m_entry.id, ref, end, {}, now - state.view.sent});
     m_runs.clear();
     m_used = {};
 }
@@ -398,8 +404,7 @@
         const auto ran = now - here->second.view.sent;
         drop(here);
         if (ours)
-            events.push_back(
-                {worker_event_kind::ended, m_entry.id, run, run_end::lapsed, {}, ran});
+            events.push_back({worker_event_kind::ended, m_entry.id, run, run_end::lapsed, {}, ran});
     }
     m_born = 0;
     m_clock_known = false;
--- a/src/pool/held_worker.hpp
+++ b/src/pool/held_worker.hpp
@@ -41,9 +41,9 @@
     worker_event_kind kind = worker_event_kind::taken;
     std::string worker;
     run_ref run;
-    run_end end = run_end::done;            // for ended
+    run_end end = run_end::done;                  // for ended
     order_result reason = order_result::accepted; // for not_started and lost
-    microseconds ran{0};                    // for ended: since the start was sent
+    microseconds ran{0};                          // for ended: since the start was sent
 };
 using worker_events = std::vector<worker_event>;
 
@@ -103,8 +103,8 @@
         run_view view;
         stage at = stage::starting;
         bool foreign = false;
-        std::uint64_t fence = 0;     // of the start
-        microseconds confirmed{0};   // when this host knew that it runs
+        std::uint64_t fence = 0;   // of the start
+        microseconds confirmed{0}; // when this host knew that it runs
         microseconds stop_sent{0};
     };
     enum class order_kind : std::uint8_t
--- a/src/pool/members.cpp
+++ b/src/pool/members.cpp
@@ -1,5 +1,6 @@
 #include "pool/members.hpp"
 #include "core/wire.hpp"
+#include <algorithm>
 #include <functional>
 
 namespace egretledge::pool
@@ -16,7 +17,8 @@
 
 members::members(members_settings settings) : m_settings(std::move(settings)) {}
 
-void members::introduce(const std::string& name, const std::string& address, action_list& out)
+void members::introduce(microseconds now, const std::string& name, const std::string& address,
+                        action_list& out)
 {
     if (name == m_settings.self.name || address == m_settings.address || address.empty())
         return;
@@ -27,6 +29,7 @@
     if (host.address == address)
         return;
     host.address = address;
+    host.introduced = now;
     out.push_back(actions::know_peer{name, address});
 }
 
@@ -59,8 +62,8 @@
         const bool silent = !alive(here->first, now);
         if (silent && host.heard.count() >= 0 && m_dead_logged.insert(here->first).second)
             out.push_back(actions::log_event{
-                true, "event=peer_silent peer=" + here->first + " silent_ms=" +
-                          std::to_string((now - host.heard).count() / 1000)});
+                true, "event=peer_silent peer=" + here->first +
+                          " silent_ms=" + std::to_string((now - host.heard).count() / 1000)});
         if (silent && host.heard.count() >= 0 && now - host.heard > m_settings.forget_after)
         {
             m_dead_logged.erase(here->first);
@@ -69,12 +72,13 @@
         }
         if (now < host.next_beat)
             continue;
-        host.next_beat = silent ? now + m_settings.silent_beat_every : now;
+        const bool eager = now - std::max(host.introduced, host.heard) < m_settings.eager;
+        host.next_beat = silent && !eager ? now + m_settings.silent_beat_every : now;
         send_beat(now, host, about, out);
     }
 }
 
-void members::send_beat(microseconds, peer& to, const announcement& about, action_list& out)
+void members::send_beat(microseconds now, peer& to, const announcement& about, action_list& out)
 {
     actions::send_peer message;
     for (const auto& [name, host] : m_peers)
@@ -85,6 +89,14 @@
     beat.set_data_centre(m_settings.data_centre);
     beat.set_address(m_settings.address);
     beat.set_leaving(about.leaving);
+    beat.set_settled(settled(now));
+    if (now - to.alive_since < m_settings.least_settle * 2)
+        for (const auto& [name, host] : m_peers)
+            if (!host.ref.empty() && &host != &to)
+            {
+                beat.add_known(name);
+                beat.add_known(host.address);
+            }
     beat.set_config_version(about.config_version);
     beat.set_echoed_sequence(to.seen_sequence);
     beat.set_echoed_incarnation(to.ref.incarnation);
@@ -135,9 +147,8 @@
         host.alive_since = now;
         m_dead_logged.erase(from.name);
         out.push_back(actions::log_event{
-            false, "event=peer_alive peer=" + from.name +
-                       " incarnation=" + std::to_string(from.incarnation) +
-                       " address=" + host.address});
+            false, "event=peer_alive peer=" + from.name + " incarnation=" +
+                       std::to_string(from.incarnation) + " address=" + host.address});
     }
     host.heard = now;
     host.next_beat = microseconds{0};
@@ -149,6 +160,7 @@
     host.load_at = now;
     host.seen_sequence = beat.sequence();
     host.held_count = beat.held_count();
+    host.settled = beat.settled();
     if (beat.with_held())
     {
         host.held_version = beat.held_version();
@@ -159,7 +171,9 @@
         host.echoed_held = beat.echoed_held_version();
         host.echo_sent = std::max(host.echo_sent, sent_at(beat.echoed_sequence()));
     }
-    return &host;
+    for (int i = 0; i + 1 < beat.known_size(); i += 2)
+        introduce(now, beat.known(i), beat.known(i + 1), out);
+    return &m_peers.at(from.name);
 }
 
 bool members::alive(const std::string& name, microseconds now) const
@@ -171,9 +185,16 @@
     return now - since < m_settings.dead_after;
 }
 
-bool members::steady(const peer& host, microseconds now) const
+bool members::settled(microseconds now) const
 {
-    return alive(host.ref.name, now) && now - host.alive_since >= m_settings.steady_after;
+    const auto listened = now - m_listening_since;
+    if (listened < m_settings.least_settle)
+        return false;
+    if (listened >= m_settings.settle)
+        return true;
+    return !m_peers.empty() &&
+           std::all_of(m_peers.begin(), m_peers.end(),
+                       [&](const auto& item) { return item.second.heard >= m_listening_since; });
 }
 
 bool members::hears_us(const host_ref& ref, microseconds now) const
--- a/src/pool/members.hpp
+++ b/src/pool/members.hpp
@@ -21,14 +21,19 @@
     std::string data_centre;
     std::string address; // where this host listens for peers
     milliseconds beat_every{125};
-    // Silence after which a host counts as dead: three lost heartbeats and the delay of a busy host.
+    // Silence after which a host counts as dead: three lost heartbeats and the delay of a busy
+    // host.
     milliseconds dead_after{450};
     // Silence after which a caller's host counts as gone; its caller comes back 1.3 s after.
     milliseconds caller_gone_after{700};
-    // A host that was dead counts as steady, and may hold workers, after this time.
-    milliseconds steady_after{1000};
-    // A silent peer is tried this often.
+    // A peer that was never heard is tried at every heartbeat for this long after it was
+    // introduced, and one that is silent only now and then.
+    milliseconds eager{3000};
     milliseconds silent_beat_every{1000};
+    // A host that has heard all hosts it was told of knows who holds what; it waits no longer than
+    // `settle` for the others. A connection takes up to a second if its first packet is lost.
+    milliseconds settle{1500};
+    milliseconds least_settle{150};
     // A silent peer that the platform does not list is forgotten.
     milliseconds forget_after{30000};
 };
@@ -52,7 +57,9 @@
     std::uint64_t held_version = 0;
     std::set<std::string> held;
     std::uint32_t held_count = 0;
+    bool settled = false;
 
+    microseconds introduced{0};
     microseconds heard{-1};      // the last heartbeat
     microseconds alive_since{0}; // start of the present unbroken time
     microseconds echo_sent{-1};  // when the own heartbeat was sent that it has seen last
@@ -67,7 +74,8 @@
     explicit members(members_settings settings);
 
     // A host that the platform lists, or that a seed names; `name` may be made up for a seed.
-    void introduce(const std::string& name, const std::string& address, action_list& out);
+    void introduce(microseconds now, const std::string& name, const std::string& address,
+                   action_list& out);
     // What to announce about this host.
     struct announcement
     {
@@ -85,7 +93,9 @@
 
     // A host is alive if it was heard lately. After a pause of this process silence counts anew.
     bool alive(const std::string& name, microseconds now) const;
-    bool steady(const peer& host, microseconds now) const;
+    // True once this host knows who holds what: since it began, or since it last came back from a
+    // pause.
+    bool settled(microseconds now) const;
     // False once the host may have given up on this one.
     bool hears_us(const host_ref& host, microseconds now) const;
     const peer* find(const std::string& name) const;
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -1,6 +1,6 @@
 // Ties the parts together: heartbeats tell who holds what, the steward deals out workers, the pool
-// runs jobs on those held here, and the entry brings callers' jobs to pools. Messages to other hosts
-// are one-way; each kind is repeated or bounded by a timer of the part that sent it.
+// runs jobs on those held here, and the entry brings callers' jobs to pools. Messages to other
+// hosts are one-way; each kind is repeated or bounded by a timer of the part that sent it.
 
 #include "pool/pool_host.hpp"
 #include "core/wire.hpp"
@@ -31,9 +31,10 @@
             egretledge::to_wire(m_settings.members.self, *message->message.mutable_from());
 }
 
-void pool_host::introduce(const std::string& name, const std::string& address, action_list& out)
+void pool_host::introduce(instant now, const std::string& name, const std::string& address,
+                          action_list& out)
 {
-    m_members.introduce(name, address, out);
+    m_members.introduce(now.steady, name, address, out);
 }
 
 bool pool_host::set_config(instant, route_config_ptr config, action_list& out)
@@ -41,8 +42,8 @@
     if (m_config && config->version <= m_config->version)
         return false;
     out.push_back(actions::log_event{
-        false, "event=config_in_force version=" + std::to_string(config->version) + " former=" +
-                   std::to_string(m_config ? m_config->version : 0) +
+        false, "event=config_in_force version=" + std::to_string(config->version) +
+                   " former=" + std::to_string(m_config ? m_config->version : 0) +
                    " routes=" + std::to_string(config->routes.size())});
     m_config = std::move(config);
     return true;
@@ -50,7 +51,8 @@
 
 void pool_host::set_registry(instant now, worker_registry registry, action_list& out)
 {
-    // A worker that is missing counts for a while longer: an outage of the store may have lapsed it.
+    // A worker that is missing counts for a while longer: an outage of the store may have lapsed
+    // it.
     for (const auto& [id, entry] : m_registry)
     {
         if (registry.contains(id))
@@ -61,8 +63,11 @@
         else
             out.push_back(actions::log_event{false, "event=worker_unlisted worker=" + id});
     }
-    std::erase_if(m_vanished, [&](const auto& item)
-                  { return !registry.contains(item.first) || now.steady - item.second > m_settings.vanish_grace; });
+    std::erase_if(m_vanished,
+                  [&](const auto& item) {
+                      return !registry.contains(item.first) ||
+                             now.steady - item.second > m_settings.vanish_grace;
+                  });
     for (const auto& [id, entry] : registry)
     {
         const auto known = m_registry.find(id);
@@ -78,19 +83,16 @@
 
 void pool_host::tick(instant now, action_list& out)
 {
-    if (m_began.count() < 0)
-        m_began = now.steady;
     m_members.tick(
         now.steady,
         [&]
         {
-            return members::announcement{
-                m_leaving,
-                m_config ? m_config->version : 0,
-                {m_pool.free_cpu(now.steady), m_pool.total_cpu(now.steady),
-                 m_pool.expected_wait(now.steady)},
-                m_pool.held_version(),
-                m_pool.held()};
+            return members::announcement{m_leaving,
+                                         m_config ? m_config->version : 0,
+                                         {m_pool.free_cpu(now.steady), m_pool.total_cpu(now.steady),
+                                          m_pool.expected_wait(now.steady)},
+                                         m_pool.held_version(),
+                                         m_pool.held()};
         },
         out);
     m_pool.cancel_callers(
@@ -114,20 +116,17 @@
 
 void pool_host::take_and_yield(instant now, action_list& out)
 {
-    const auto listened = now.steady - std::max(m_began, m_members.listening_since());
-    if (listened < m_settings.settle && !m_leaving)
-        return;
     std::vector<candidate> hosts;
     const auto& about = m_settings.members;
     hosts.push_back({about.self.name, about.data_centre,
-                     static_cast<std::uint32_t>(m_pool.held().size()), !m_leaving});
+                     static_cast<std::uint32_t>(m_pool.held().size()), m_leaving,
+                     m_members.settled(now.steady)});
     std::set<std::string> elsewhere;
     for (const auto& [name, host] : m_members.all())
     {
         if (!m_members.alive(name, now.steady))
             continue;
-        hosts.push_back({name, host.data_centre, host.held_count,
-                         !host.leaving && m_members.steady(host, now.steady)});
+        hosts.push_back({name, host.data_centre, host.held_count, host.leaving, host.settled});
         elsewhere.insert(host.held.begin(), host.held.end());
     }
     const auto held = m_pool.held();
@@ -185,8 +184,7 @@
             reply.set_call(result.caller.call);
             reply.set_id(result.job);
             reply.set_kind(static_cast<std::uint32_t>(result.answer.kind));
-            reply.set_retry_after_ms(
-                static_cast<std::uint32_t>(result.answer.retry_after.count()));
+            reply.set_retry_after_ms(static_cast<std::uint32_t>(result.answer.retry_after.count()));
             reply.set_declined(result.declined);
             reply.set_detail(result.answer.detail);
             out.push_back(std::move(message));
@@ -205,8 +203,8 @@
     auto& result = *reply.message.mutable_pool_result();
     result.set_call(message.call());
     result.set_id(message.id());
-    result.set_kind(static_cast<std::uint32_t>(job ? answer_kind::over_capacity
-                                                   : answer_kind::bad_request));
+    result.set_kind(
+        static_cast<std::uint32_t>(job ? answer_kind::over_capacity : answer_kind::bad_request));
     result.set_declined(job.has_value());
     result.set_retry_after_ms(1000);
     result.set_detail(!job ? job.error().message : m_leaving ? "leaving" : "heartbeats not heard");
@@ -236,7 +234,9 @@
             offer_config(from, out);
         break;
     }
-    case wire::PeerMessage::kPoolJob: on_pool_job(now, from, message.pool_job(), out); break;
+    case wire::PeerMessage::kPoolJob:
+        on_pool_job(now, from, message.pool_job(), out);
+        break;
     case wire::PeerMessage::kPoolResult:
         m_entry.on_result(now.steady, from.name, message.pool_result(), out);
         break;
@@ -248,7 +248,8 @@
         if (!m_config || message.pool_config().version() > m_config->version)
             published = message.pool_config().published();
         break;
-    default: break;
+    default:
+        break;
     }
     pass_results(now, out);
     stamp(out);
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -24,10 +24,9 @@
     worker_pool_settings workers;
     entry_settings entry; // data_centre is filled in
     steward_settings steward;
-    // Before it takes workers a new host listens this long for others that hold them.
-    milliseconds settle{700};
     milliseconds steward_every{100};
-    // A vanished worker may be missing from the registry for about 2 s after an outage of the store.
+    // A vanished worker may be missing from the registry for about 2 s after an outage of the
+    // store.
     milliseconds vanish_grace{2500};
 };
 
@@ -36,7 +35,8 @@
 public:
     explicit pool_host(pool_host_settings settings);
 
-    void introduce(const std::string& name, const std::string& address, action_list& out);
+    void introduce(instant now, const std::string& name, const std::string& address,
+                   action_list& out);
     // False if the version is not newer than the one in force.
     bool set_config(instant now, route_config_ptr config, action_list& out);
     void set_registry(instant now, worker_registry registry, action_list& out);
@@ -76,7 +76,6 @@
     members m_members;
     worker_pool m_pool;
     entry m_entry;
-    microseconds m_began{-1};
     microseconds m_next_steward{0};
     bool m_leaving = false;
 };
--- a/src/pool/pool_types.hpp
+++ b/src/pool/pool_types.hpp
@@ -244,9 +244,9 @@
 
 } // namespace actions
 
-using action = std::variant<actions::answer_call, actions::send_peer, actions::know_peer,
-                            actions::hold_worker, actions::start_run, actions::stop_run,
-                            actions::log_event>;
+using action =
+    std::variant<actions::answer_call, actions::send_peer, actions::know_peer, actions::hold_worker,
+                 actions::start_run, actions::stop_run, actions::log_event>;
 using action_list = std::vector<action>;
 
 } // namespace egretledge::pool
--- a/src/pool/steward.cpp
+++ b/src/pool/steward.cpp
@@ -2,7 +2,9 @@
 // first to one that already holds some and has room for more, else to the first in the order of a
 // hash of data centre and host. So workers gather on few hosts, whose pools are large, and every
 // host computes the same. If a data centre has no host, the others serve it, in the order of the
-// same hash. When all candidates are full, the one that holds least takes the worker.
+// same hash. A host that does not know yet who holds what is passed over while another one does;
+// nobody takes a worker in its place if it is the only one. When all candidates are full, the one
+// that holds least takes the worker.
 
 #include "pool/steward.hpp"
 #include <algorithm>
@@ -23,19 +25,19 @@
 // The host that should take a worker of `data_centre`; null if nobody may.
 candidate* taker(std::vector<candidate>& hosts, const std::string& data_centre, std::uint32_t most)
 {
-    const bool local_host =
-        std::any_of(hosts.begin(), hosts.end(), [&](const candidate& host)
-                    { return host.may_take && host.data_centre == data_centre; });
+    const bool local_host = std::any_of(
+        hosts.begin(), hosts.end(),
+        [&](const candidate& host) { return !host.leaving && host.data_centre == data_centre; });
     candidate* best = nullptr;
     const auto key = [&](const candidate& host)
     {
         const bool full = host.held >= most;
-        return std::make_tuple(full, full ? host.held : 0, host.held == 0,
+        return std::make_tuple(!host.settled, full, full ? host.held : 0, host.held == 0,
                                rank_of(data_centre, host.name));
     };
     for (auto& host : hosts)
     {
-        if (!host.may_take || (local_host && host.data_centre != data_centre))
+        if (host.leaving || (local_host && host.data_centre != data_centre))
             continue;
         if (best == nullptr || key(host) < key(*best))
             best = &host;
@@ -61,10 +63,12 @@
         if (own.contains(id))
         {
             const bool away = entry.data_centre != myself->data_centre;
-            const bool local_host =
-                std::any_of(hosts.begin(), hosts.end(), [&](const candidate& host)
-                            { return host.may_take && host.data_centre == entry.data_centre; });
-            if (!myself->may_take || (away && local_host))
+            const bool local_host = std::any_of(hosts.begin(), hosts.end(),
+                                                [&](const candidate& host) {
+                                                    return !host.leaving && host.settled &&
+                                                           host.data_centre == entry.data_centre;
+                                                });
+            if (myself->leaving || (away && local_host))
                 result.yield.push_back(id);
             continue;
         }
@@ -74,7 +78,7 @@
         if (host == nullptr)
             continue;
         ++host->held;
-        if (host->name == self)
+        if (host->name == self && myself->settled)
             result.take.push_back(id);
     }
     return result;
--- a/src/pool/steward.hpp
+++ b/src/pool/steward.hpp
@@ -22,13 +22,15 @@
     std::string name;
     std::string data_centre;
     std::uint32_t held = 0;
-    bool may_take = true; // alive for long enough, and not leaving
+    bool leaving = false;
+    bool settled = true; // knows who holds what; takes nothing before
 };
 
 struct stewardship
 {
     std::vector<std::string> take;
-    std::vector<std::string> yield; // held here, but a host of the worker's own data centre may take
+    std::vector<std::string>
+        yield; // held here, but a host of the worker's own data centre may take
 };
 
 // `held_elsewhere` are the workers that live hosts announce; `own` are held here. `hosts` includes
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -56,8 +56,8 @@
         return;
     const auto fence =
         (static_cast<std::uint64_t>(now.wall.count()) << fence_identity_bits) | m_identity;
-    auto& record =
-        m_workers.emplace(entry.id, worker_record{{m_settings.workers, entry, fence}}).first->second;
+    auto& record = m_workers.emplace(entry.id, worker_record{{m_settings.workers, entry, fence}})
+                       .first->second;
     record.leaving = entry.leaving;
     ++m_held_version;
     worker_events events;
@@ -161,13 +161,10 @@
 
 std::size_t worker_pool::waiting_jobs(const std::string& route) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_jobs.begin(), m_jobs.end(),
-                      [&](const auto& entry)
-                      {
-                          return entry.second.starts == 0 &&
-                                 entry.second.request.terms.route == route;
-                      }));
+    return static_cast<std::size_t>(std::count_if(
+        m_jobs.begin(), m_jobs.end(),
+        [&](const auto& entry)
+        { return entry.second.starts == 0 && entry.second.request.terms.route == route; }));
 }
 
 bool worker_pool::fits_somewhere(const job_request& job) const
@@ -175,14 +172,14 @@
     return std::all_of(job.steps.begin(), job.steps.end(),
                        [&](const job_step& step)
                        {
-                           return std::any_of(
-                               m_workers.begin(), m_workers.end(),
-                               [&](const auto& entry)
-                               {
-                                   const auto& about = entry.second.worker.entry();
-                                   return about.service == job.terms.service &&
-                                          step.need.fits(about.capacity) && !entry.second.leaving;
-                               });
+                           return std::any_of(m_workers.begin(), m_workers.end(),
+                                              [&](const auto& entry)
+                                              {
+                                                  const auto& about = entry.second.worker.entry();
+                                                  return about.service == job.terms.service &&
+                                                         step.need.fits(about.capacity) &&
+                                                         !entry.second.leaving;
+                                              });
                        });
 }
 
@@ -200,8 +197,10 @@
         // The same job again: the newest call gets the answer, the work goes on.
         auto& job = known->second;
         if (job.caller != caller)
-            m_results.push_back({job.caller, request.id,
-                                 {answer_kind::still_running, {}, "a later call took over"}, false});
+            m_results.push_back({job.caller,
+                                 request.id,
+                                 {answer_kind::still_running, {}, "a later call took over"},
+                                 false});
         job.caller = caller;
         job.give_up = now - age + request.terms.wait;
         return;
@@ -233,16 +232,16 @@
                          microseconds{terms.slack};
     job.objective = job.arrived + allowed;
     job.give_up = job.arrived + microseconds{terms.wait};
-    const auto latest =
-        std::min(job.give_up, job.arrived + std::chrono::duration_cast<microseconds>(
-                                                allowed * m_settings.late_factor));
+    const auto latest = std::min(
+        job.give_up,
+        job.arrived + std::chrono::duration_cast<microseconds>(allowed * m_settings.late_factor));
     const auto wait = expected_wait(now);
     std::optional<call_answer> refused;
     if (!fits_somewhere(job.request))
         refused = refusal(answer_kind::no_worker_fits, now, "no worker of this pool can run it");
     else if (now + wait + job.longest > latest)
-        refused = refusal(answer_kind::over_capacity, now,
-                          "wait_ms=" + std::to_string(wait.count()));
+        refused =
+            refusal(answer_kind::over_capacity, now, "wait_ms=" + std::to_string(wait.count()));
     if (refused)
     {
         log_job(job, *refused, now, out);
@@ -262,10 +261,9 @@
         "event=job_ended job=" + job.request.id + " outcome=" + std::string(name_of(answer.kind)) +
             " caller_host=" + (job.caller.host.empty() ? "self" : job.caller.host) +
             " age_ms=" + std::to_string(ms(now - job.arrived)) +
-            " objective_ms=" + std::to_string(ms(job.objective - job.arrived)) +
-            " longest_ms=" + std::to_string(job.longest.count()) +
-            " tasks=" + std::to_string(job.tasks.size()) + " left=" + std::to_string(job.left) +
-            " starts=" + std::to_string(job.starts) +
+            " objective_ms=" + std::to_string(ms(job.objective - job.arrived)) + " longest_ms=" +
+            std::to_string(job.longest.count()) + " tasks=" + std::to_string(job.tasks.size()) +
+            " left=" + std::to_string(job.left) + " starts=" + std::to_string(job.starts) +
             (answer.detail.empty() ? "" : " detail=\"" + answer.detail + "\"")});
 }
 
@@ -285,10 +283,14 @@
     { return std::find(about.labels.begin(), about.labels.end(), label) != about.labels.end(); };
     const auto of_step = [&](const std::string& worker)
     {
-        return static_cast<std::uint32_t>(std::count_if(
-            job.tasks.begin(), job.tasks.end(), [&](const task_state& other)
-            { return other.step == task.step && other.worker == worker &&
-                     other.stage == task_stage::placed; }));
+        return static_cast<std::uint32_t>(std::count_if(job.tasks.begin(), job.tasks.end(),
+                                                        [&](const task_state& other)
+                                                        {
+                                                            return other.step == task.step &&
+                                                                   other.worker == worker &&
+                                                                   other.stage ==
+                                                                       task_stage::placed;
+                                                        }));
     };
     worker_record* best = nullptr;
     double best_score = 0;
@@ -481,8 +483,8 @@
 {
     const auto& step = job.request.steps[task.step];
     const auto time = expected(job.request, step);
-    const double ratio = static_cast<double>(ran.count()) /
-                         static_cast<double>(microseconds{time}.count());
+    const double ratio =
+        static_cast<double>(ran.count()) / static_cast<double>(microseconds{time}.count());
     record.slowness += slowness_rate * (ratio - record.slowness);
     m_run_times.learn(job.request.terms.route, step.estimate, ran);
 }
@@ -516,9 +518,8 @@
         return;
     }
     out.push_back(actions::log_event{
-        true, "event=run_ended run=" + text_of(event.run) + " worker=" + event.worker +
-                  " end=" + std::string(name_of(event.end)) +
-                  " ran_ms=" + std::to_string(ms(event.ran))});
+        true, "event=run_ended run=" + text_of(event.run) + " worker=" + event.worker + " end=" +
+                  std::string(name_of(event.end)) + " ran_ms=" + std::to_string(ms(event.ran))});
     task->stage = task_stage::waiting;
     ++job->waiting;
     if (event.end == run_end::failed)
@@ -533,7 +534,8 @@
     if (record != nullptr)
     {
         // A task that has failed elsewhere already says nothing about this worker.
-        if (task.failures == 0 && (record->probation || ++record->failures >= m_settings.most_failures))
+        if (task.failures == 0 &&
+            (record->probation || ++record->failures >= m_settings.most_failures))
         {
             record->quarantine = std::clamp(record->quarantine * 2, m_settings.first_quarantine,
                                             m_settings.longest_quarantine);
@@ -556,9 +558,10 @@
     const auto record = m_workers.find(event.worker);
     if (record == m_workers.end())
         return;
-    out.push_back(actions::log_event{true, "event=worker_lost worker=" + event.worker + " reason=" +
-                                               std::string(name_of(event.reason)) + " runs=" +
-                                               std::to_string(record->second.worker.runs().size())});
+    out.push_back(actions::log_event{
+        true, "event=worker_lost worker=" + event.worker +
+                  " reason=" + std::string(name_of(event.reason)) +
+                  " runs=" + std::to_string(record->second.worker.runs().size())});
     std::vector<run_ref> runs;
     for (const auto& view : record->second.worker.runs())
         runs.push_back(view.run);
@@ -667,7 +670,8 @@
     }
     for (const auto& id : waiting)
         finish(now, m_jobs.at(id),
-               refusal(answer_kind::expired_in_queue, now, "no room came free in time"), false, out);
+               refusal(answer_kind::expired_in_queue, now, "no room came free in time"), false,
+               out);
     for (const auto& id : overdue)
     {
         auto& job = m_jobs.at(id);
@@ -690,9 +694,9 @@
             if (job == nullptr)
                 continue;
             const auto time = expected(job->request, job->request.steps[task->step]);
-            const auto limit = std::chrono::duration_cast<microseconds>(
-                                   time * m_settings.stuck_factor) +
-                               microseconds{m_settings.stuck_slack};
+            const auto limit =
+                std::chrono::duration_cast<microseconds>(time * m_settings.stuck_factor) +
+                microseconds{m_settings.stuck_slack};
             if (now - view.sent < limit || view.percent >= half || view.percent_at <= view.sent)
                 continue;
             out.push_back(actions::log_event{
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -129,7 +129,7 @@
         std::vector<std::uint32_t> step_left;
         std::uint32_t waiting = 0;
         std::uint32_t left = 0;
-        std::int64_t starts = 0; // sent and not known to have had no effect
+        std::int64_t starts = 0;   // sent and not known to have had no effect
         bool after_former = false; // runs of an earlier submission of this id are still ending
     };
     struct worker_record
