Workers of another data centre are probed before they are taken; calls wait for a pool while they can end in time

Change: a probe under a token below every holder's shows whether a worker can be reached; only after 1.2 s without an announcement is it taken. A worker lost to an unknown holder is left alone for 5 s. Reconnects come at most 250 ms apart, dead peers' sockets are closed. A call without a pool is parked while in time.

--- a/src/io/peer_bus.cpp
+++ b/src/io/peer_bus.cpp
@@ -21,7 +21,7 @@
 constexpr int high_water_mark = 20000;
 constexpr std::chrono::milliseconds poll_time{100};
 constexpr int reconnect_first_ms = 50;
-constexpr int reconnect_longest_ms = 1000;
+constexpr int reconnect_longest_ms = 250; // half of the silence after which a host counts as dead
 // A connection that went silent is replaced after this time.
 constexpr int heartbeat_every_ms = 300;
 constexpr int heartbeat_timeout_ms = 900;
@@ -208,7 +208,10 @@
                 const auto address = text_of(message[2]);
                 if (s.addresses[host] != address)
                     s.senders.erase(host);
-                s.addresses[host] = address;
+                if (address.empty())
+                    s.addresses.erase(host);
+                else
+                    s.addresses[host] = address;
                 continue;
             }
             auto* sender = sender_to(host);
--- a/src/pool/entry.cpp
+++ b/src/pool/entry.cpp
@@ -28,6 +28,16 @@
     return sum;
 }
 
+// How long a job may wait before its first start and still end in time by its own estimate.
+microseconds spare_time(const job_request& job)
+{
+    milliseconds longest{0};
+    for (const auto& step : job.steps)
+        longest = std::max(longest, step.estimate);
+    return std::chrono::duration_cast<microseconds>(longest * (job.terms.stretch - 1)) +
+           job.terms.slack;
+}
+
 } // namespace
 
 std::optional<std::string> fault_of(const job_request& job)
@@ -182,13 +192,34 @@
     call.arrived = now.steady;
     m_by_job[call.job.id] = number;
     auto& kept = m_calls.emplace(number, std::move(call)).first->second;
-    const auto pool = choose(now.steady, kept);
-    if (!pool)
-        return settle(now.steady, number,
-                      {answer_kind::no_worker_fits, retry_when_nowhere, "no workers in reach"},
-                      out);
-    kept.pool = *pool;
-    send(now.steady, kept, out);
+    dispatch(now.steady, kept, out);
+}
+
+void entry::dispatch(microseconds now, open_call& call, action_list& out)
+{
+    if (const auto pool = choose(now, call))
+    {
+        call.parked = false;
+        call.pool = *pool;
+        return send(now, call, out);
+    }
+    if (now - call.arrived < spare_time(call.job))
+    {
+        call.parked = true;
+        return;
+    }
+    settle(now, call.call,
+           {answer_kind::no_worker_fits, retry_when_nowhere, "no workers in reach"}, out);
+}
+
+void entry::retry_parked(microseconds now, action_list& out)
+{
+    std::vector<std::uint64_t> parked;
+    for (const auto& [number, call] : m_calls)
+        if (call.parked)
+            parked.push_back(number);
+    for (const auto number : parked)
+        dispatch(now, m_calls.at(number), out);
 }
 
 void entry::send(microseconds now, open_call& call, action_list& out)
@@ -286,8 +317,12 @@
     m_calls.erase(found);
 }
 
-void entry::tell_pool(const open_call& call, action_list& out)
+void entry::tell_pool(microseconds now, const open_call& call, action_list& out)
 {
+    if (call.parked)
+        return;
+    if (call.pool.empty())
+        return m_own.cancel(now, call.job.id, {{}, 0, call.call}, out);
     actions::send_peer message{call.pool, {}};
     message.message.mutable_pool_cancel()->set_call(call.call);
     message.message.mutable_pool_cancel()->set_id(call.job.id);
@@ -306,10 +341,7 @@
     out.push_back(actions::log_event{
         true, "event=caller_gone job=" + call.job.id +
                   " age_ms=" + std::to_string((now - call.arrived).count() / 1000)});
-    if (call.pool.empty())
-        m_own.cancel(now, call.job.id, {{}, 0, number}, out);
-    else
-        tell_pool(call, out);
+    tell_pool(now, call, out);
 }
 
 bool entry::cancel(microseconds now, const std::string& job, action_list& out)
@@ -318,10 +350,7 @@
     if (known == m_by_job.end())
         return false;
     const auto& call = m_calls.at(known->second);
-    if (call.pool.empty())
-        m_own.cancel(now, job, {{}, 0, call.call}, out);
-    else
-        tell_pool(call, out);
+    tell_pool(now, call, out);
     settle(now, call.call, {answer_kind::cancelled, {}, "taken back"}, out);
     return true;
 }
@@ -332,6 +361,7 @@
     std::vector<std::uint64_t> overdue;
     constexpr milliseconds answer_slack{
         50}; // the pool gives up first; its answer may be on its way
+    retry_parked(now, out);
     for (const auto& [number, call] : m_calls)
     {
         if (!call.pool.empty())
@@ -350,11 +380,7 @@
         settle(now, number, {answer_kind::worker_lost, {}, "the pool's host is silent"}, out);
     for (const auto number : overdue)
     {
-        const auto& call = m_calls.at(number);
-        if (call.pool.empty())
-            m_own.cancel(now, call.job.id, {{}, 0, number}, out);
-        else
-            tell_pool(call, out);
+        tell_pool(now, m_calls.at(number), out);
         settle(now, number, {answer_kind::deadline_passed, {}, "no answer of the pool"}, out);
     }
     while (!m_done_order.empty() && (now - m_done_order.front().first > m_settings.remember ||
--- a/src/pool/entry.hpp
+++ b/src/pool/entry.hpp
@@ -69,16 +69,21 @@
         host_ref pool_ref;
         std::set<std::string> tried;
         std::int64_t cpu = 0;
+        bool parked = false; // no pool is in reach yet
     };
 
     // The pool to ask next, as a host's name ("" for the own one); nullopt if none is left.
     std::optional<std::string> choose(microseconds now, const open_call& call) const;
     double cost(const load_report& load, std::int64_t promised, std::int64_t cpu) const;
     void send(microseconds now, open_call& call, action_list& out);
+    // Sends a call to a pool, or parks it while it could still end in time.
+    void dispatch(microseconds now, open_call& call, action_list& out);
+    void retry_parked(microseconds now, action_list& out);
     void settle(microseconds now, std::uint64_t call, call_answer answer, action_list& out);
     void decide(microseconds now, std::uint64_t call, call_answer answer, bool declined,
                 action_list& out);
-    void tell_pool(const open_call& call, action_list& out);
+    // Tells the pool that nobody waits for the job any more.
+    void tell_pool(microseconds now, const open_call& call, action_list& out);
 
     entry_settings m_settings;
     members& m_peers;
--- a/src/pool/members.cpp
+++ b/src/pool/members.cpp
@@ -67,6 +67,7 @@
         if (silent && host.heard.count() >= 0 && now - host.heard > m_settings.forget_after)
         {
             m_dead_logged.erase(here->first);
+            out.push_back(actions::know_peer{here->first, {}});
             m_peers.erase(here);
             continue;
         }
@@ -124,8 +125,10 @@
     for (auto entry = m_peers.begin(); entry != m_peers.end();)
     {
         const auto here = entry++;
-        if (here->first != from.name && here->second.address == beat.address())
-            m_peers.erase(here);
+        if (here->first == from.name || here->second.address != beat.address())
+            continue;
+        out.push_back(actions::know_peer{here->first, {}});
+        m_peers.erase(here);
     }
     auto& host = m_peers[from.name];
     if (from.incarnation < host.ref.incarnation)
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -114,8 +114,22 @@
     stamp(out);
 }
 
+bool pool_host::may_take(const worker_entry& entry, instant now, action_list& out)
+{
+    const auto lost = m_lost.find(entry.id);
+    if (lost != m_lost.end() && now.steady - lost->second < m_settings.lost_patience)
+        return false;
+    if (entry.data_centre == m_settings.members.data_centre ||
+        m_pool.reachable_for(entry.id, now.steady, m_settings.away_patience))
+        return true;
+    m_pool.probe(now.steady, entry, out);
+    return false;
+}
+
 void pool_host::take_and_yield(instant now, action_list& out)
 {
+    for (const auto& id : m_pool.take_losses())
+        m_lost[id] = now.steady;
     std::vector<candidate> hosts;
     const auto& about = m_settings.members;
     hosts.push_back({about.self.name, about.data_centre,
@@ -129,11 +143,14 @@
         hosts.push_back({name, host.data_centre, host.held_count, host.leaving, host.settled});
         elsewhere.insert(host.held.begin(), host.held.end());
     }
+    for (const auto& id : elsewhere)
+        m_lost.erase(id);
     const auto held = m_pool.held();
     const auto plan = choose_workers(m_settings.steward, about.self.name, m_registry, hosts,
                                      elsewhere, {held.begin(), held.end()});
     for (const auto& id : plan.take)
-        m_pool.take(now, m_registry.at(id), out);
+        if (may_take(m_registry.at(id), now, out))
+            m_pool.take(now, m_registry.at(id), out);
     for (const auto& id : plan.yield)
         m_pool.release(id);
 }
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -25,6 +25,12 @@
     entry_settings entry; // data_centre is filled in
     steward_settings steward;
     milliseconds steward_every{100};
+    // A worker of another data centre is taken only after it could be reached for this long while no
+    // host announced it: when a cut heals, its holder's heartbeats come within that time.
+    milliseconds away_patience{1200};
+    // A worker that an unknown host took is left alone for this long, or until its holder was heard
+    // of: a host that is cut off from the others would take it back and forth.
+    milliseconds lost_patience{5000};
     // A vanished worker may be missing from the registry for about 2 s after an outage of the
     // store.
     milliseconds vanish_grace{2500};
@@ -63,6 +69,7 @@
 
 private:
     void take_and_yield(instant now, action_list& out);
+    bool may_take(const worker_entry& entry, instant now, action_list& out);
     void pass_results(instant now, action_list& out);
     void on_pool_job(instant now, const host_ref& from, const wire::PoolJob& message,
                      action_list& out);
@@ -73,6 +80,7 @@
     route_config_ptr m_config;
     worker_registry m_registry;
     std::map<std::string, microseconds> m_vanished;
+    std::map<std::string, microseconds> m_lost; // workers that another host took, and when
     members m_members;
     worker_pool m_pool;
     entry m_entry;
--- a/src/pool/pool_types.hpp
+++ b/src/pool/pool_types.hpp
@@ -193,7 +193,7 @@
     wire::PeerMessage message;
 };
 
-// Tells the transport where a host listens.
+// Tells the transport where a host listens; an empty address forgets it.
 struct know_peer
 {
     std::string host;
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -31,6 +31,9 @@
 constexpr double packing = 0.85;              // the share of capacity that tasks can fill
 constexpr std::uint32_t most_scanned = 64;    // jobs that are looked at for one placement round
 constexpr unsigned fence_identity_bits = 12;
+constexpr std::uint64_t probe_fence = 1;   // below every holder's token
+constexpr milliseconds probe_every{300};   // a quarter of the time that a probe has to hold good
+constexpr milliseconds probe_timeout{200}; // a round trip takes 1 to 3 ms
 
 std::string text_of(const run_ref& run)
 {
@@ -54,6 +57,7 @@
 {
     if (m_workers.contains(entry.id))
         return;
+    m_probes.erase(entry.id);
     const auto fence =
         (static_cast<std::uint64_t>(now.wall.count()) << fence_identity_bits) | m_identity;
     auto& record = m_workers.emplace(entry.id, worker_record{{m_settings.workers, entry, fence}})
@@ -64,6 +68,25 @@
     record.worker.tick(now.steady, m_next_request, out, events);
 }
 
+void worker_pool::probe(microseconds now, const worker_entry& entry, action_list& out)
+{
+    auto& about = m_probes[entry.id];
+    if (about.request != 0 || now - about.asked < probe_every)
+        return;
+    about.request = m_next_request++;
+    about.asked = now;
+    out.push_back(actions::hold_worker{about.request, entry.id, entry.address, probe_fence, 0, 0,
+                                       milliseconds{0}, probe_timeout});
+}
+
+bool worker_pool::reachable_for(const std::string& worker, microseconds now,
+                                milliseconds time) const
+{
+    const auto about = m_probes.find(worker);
+    return about != m_probes.end() && about->second.since.count() >= 0 &&
+           now - about->second.since >= time && now - about->second.answered < probe_every * 3;
+}
+
 void worker_pool::on_registry(const worker_registry& registry)
 {
     for (auto& [id, record] : m_workers)
@@ -394,6 +417,21 @@
 bool worker_pool::on_worker(microseconds now, std::uint64_t request, const worker_reply& reply,
                             action_list& out)
 {
+    for (auto& [id, about] : m_probes)
+    {
+        if (about.request != request)
+            continue;
+        about.request = 0;
+        const bool answered = reply.result == order_result::accepted ||
+                              reply.result == order_result::stale_fence;
+        if (!answered)
+            about.since = microseconds{-1};
+        else if (about.since.count() < 0)
+            about.since = now;
+        if (answered)
+            about.answered = now;
+        return true;
+    }
     worker_events events;
     bool found = false;
     for (auto& [id, record] : m_workers)
@@ -566,6 +604,8 @@
     for (const auto& view : record->second.worker.runs())
         runs.push_back(view.run);
     forget(event.worker);
+    if (event.reason == order_result::stale_fence)
+        m_losses.push_back(event.worker);
     const bool over = event.reason == order_result::other_lifetime;
     for (const auto& run : runs)
     {
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -54,6 +54,10 @@
 
     // Begins to hold a worker. `wall` makes its fencing token.
     void take(instant now, const worker_entry& entry, action_list& out);
+    // Asks a worker whether it can be reached, without taking it from whoever holds it.
+    void probe(microseconds now, const worker_entry& entry, action_list& out);
+    // True once probes have been answered without a gap for this long.
+    bool reachable_for(const std::string& worker, microseconds now, milliseconds time) const;
     // The registry changed: workers that leave get nothing new, vanished ones are let go when idle.
     void on_registry(const worker_registry& registry);
     // Lets an idle worker go, so that another host may take it; false if it is not idle.
@@ -79,6 +83,8 @@
     void tick(microseconds now, action_list& out);
     bool on_worker(microseconds now, std::uint64_t request, const worker_reply& reply,
                    action_list& out);
+    // Workers that another host took since the last call.
+    std::vector<std::string> take_losses() { return std::exchange(m_losses, {}); }
     std::vector<pool_result> take_results() { return std::exchange(m_results, {}); }
 
     // Load as announced to other hosts.
@@ -176,6 +182,15 @@
     std::uint64_t m_next_request = 1;
     std::map<std::string, worker_record> m_workers;
     std::uint64_t m_held_version = 1;
+    struct reach
+    {
+        std::uint64_t request = 0; // 0: none is open
+        microseconds asked{0};
+        microseconds since{-1}; // of the first answer without a gap after it
+        microseconds answered{-1};
+    };
+    std::map<std::string, reach> m_probes;
+    std::vector<std::string> m_losses;
     std::map<std::string, open_job> m_jobs;
     // Runs of ended jobs that are not over yet, by job: a new submission of the id waits for them.
     std::map<std::string, std::set<run_ref>> m_former;
