A host is settled only once every peer's holdings have come

Ruled out: silence of a holder (it was heard 100 ms before). Change: a heartbeat always names the version of the list; settled means that each list is there.

--- a/src/pool/entry.cpp
+++ b/src/pool/entry.cpp
@@ -208,8 +208,8 @@
         call.parked = true;
         return;
     }
-    settle(now, call.call,
-           {answer_kind::no_worker_fits, retry_when_nowhere, "no workers in reach"}, out);
+    settle(now, call.call, {answer_kind::no_worker_fits, retry_when_nowhere, "no workers in reach"},
+           out);
 }
 
 void entry::retry_parked(microseconds now, action_list& out)
--- a/src/pool/members.cpp
+++ b/src/pool/members.cpp
@@ -164,6 +164,7 @@
     host.seen_sequence = beat.sequence();
     host.held_count = beat.held_count();
     host.settled = beat.settled();
+    host.announced_version = beat.held_version();
     if (beat.with_held())
     {
         host.held_version = beat.held_version();
@@ -195,9 +196,13 @@
         return false;
     if (listened >= m_settings.settle)
         return true;
-    return !m_peers.empty() &&
-           std::all_of(m_peers.begin(), m_peers.end(),
-                       [&](const auto& item) { return item.second.heard >= m_listening_since; });
+    return !m_peers.empty() && std::all_of(m_peers.begin(), m_peers.end(),
+                                           [&](const auto& item)
+                                           {
+                                               const auto& host = item.second;
+                                               return host.heard >= m_listening_since &&
+                                                      host.announced_version == host.held_version;
+                                           });
 }
 
 bool members::hears_us(const host_ref& ref, microseconds now) const
--- a/src/pool/members.hpp
+++ b/src/pool/members.hpp
@@ -54,7 +54,8 @@
     std::uint64_t config_version = 0;
     load_report load;
     microseconds load_at{0};
-    std::uint64_t held_version = 0;
+    std::uint64_t held_version = 0;      // of `held`
+    std::uint64_t announced_version = 0; // the latest one; `held` may not have come yet
     std::set<std::string> held;
     std::uint32_t held_count = 0;
     bool settled = false;
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -25,8 +25,8 @@
     entry_settings entry; // data_centre is filled in
     steward_settings steward;
     milliseconds steward_every{100};
-    // A worker of another data centre is taken only after it could be reached for this long while no
-    // host announced it: when a cut heals, its holder's heartbeats come within that time.
+    // A worker of another data centre is taken only after it could be reached for this long while
+    // no host announced it: when a cut heals, its holder's heartbeats come within that time.
     milliseconds away_patience{1200};
     // A worker that an unknown host took is left alone for this long, or until its holder was heard
     // of: a host that is cut off from the others would take it back and forth.
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -422,8 +422,8 @@
         if (about.request != request)
             continue;
         about.request = 0;
-        const bool answered = reply.result == order_result::accepted ||
-                              reply.result == order_result::stale_fence;
+        const bool answered =
+            reply.result == order_result::accepted || reply.result == order_result::stale_fence;
         if (!answered)
             about.since = microseconds{-1};
         else if (about.since.count() < 0)
