Tests of the adapter; pooled hosts and workers in virtual time with a checker

Cause: the new path had no tests of its own. Declined calls wait while a takeover goes on; a job larger than every worker is refused at once. Conclusion: the checker comes before the next change of the logic.

--- /dev/null
+++ b/harness/pool_schedule.hpp
@@ -0,0 +1,25 @@
+#ifndef EGRETLEDGE_HARNESS_POOL_SCHEDULE_HPP
+#define EGRETLEDGE_HARNESS_POOL_SCHEDULE_HPP
+
+// Random load and faults for a pool_world, all drawn from one seed.
+
+#include "harness/pool_world.hpp"
+
+namespace egretledge::harness
+{
+
+struct pool_schedule_result
+{
+    std::vector<std::string> violations;
+    std::size_t calls = 0;
+    std::size_t complete = 0;
+    std::size_t starts = 0;
+};
+
+// Runs one schedule: 10 s of load with kills, freezes, planned stops, cuts, crashed, slow and failing
+// workers and late orders, then a quiet end.
+pool_schedule_result run_pool_schedule(std::uint64_t seed, bool trace);
+
+} // namespace egretledge::harness
+
+#endif
--- /dev/null
+++ b/harness/pool_soak_main.cpp
@@ -0,0 +1,56 @@
+// egret-pool-soak runs random schedules of pooled hosts and workers.
+//
+//     egret-pool-soak --first 1 --seeds 500 [--trace]
+//
+// Without --first it draws a first seed and prints it. Exit code 1 if a rule was broken.
+
+#include "harness/pool_schedule.hpp"
+#include <boost/program_options.hpp>
+#include <iostream>
+
+int main(int argc, char** argv)
+{
+    namespace po = boost::program_options;
+    po::options_description options("egret-pool-soak");
+    std::uint64_t first = 0;
+    std::uint64_t seeds = 0;
+    options.add_options()("help", "print this")("first", po::value(&first)->default_value(0),
+                                                "the first seed; 0 draws one")(
+        "seeds", po::value(&seeds)->default_value(200), "how many")("trace", "print every event");
+    po::variables_map given;
+    try
+    {
+        po::store(po::parse_command_line(argc, argv, options), given);
+        po::notify(given);
+    }
+    catch (const po::error& e)
+    {
+        std::cerr << e.what() << "; see --help\n";
+        return 2;
+    }
+    if (given.contains("help"))
+    {
+        std::cout << options;
+        return 0;
+    }
+    if (first == 0)
+        first = std::random_device{}() + 1ULL;
+    std::cout << "first seed " << first << '\n';
+    std::size_t calls = 0;
+    std::size_t complete = 0;
+    std::size_t starts = 0;
+    std::size_t broken = 0;
+    for (std::uint64_t seed = first; seed < first + seeds; ++seed)
+    {
+        const auto result = egretledge::harness::run_pool_schedule(seed, given.contains("trace"));
+        calls += result.calls;
+        complete += result.complete;
+        starts += result.starts;
+        broken += result.violations.empty() ? 0 : 1;
+        for (const auto& violation : result.violations)
+            std::cout << "seed " << seed << ": " << violation << '\n';
+    }
+    std::cout << seeds << " schedules, " << calls << " calls, " << complete << " complete, "
+              << starts << " starts, " << broken << " with violations\n";
+    return broken == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/harness/pool_world.cpp
@@ -0,0 +1,495 @@
+#include "harness/pool_world.hpp"
+#include <iostream>
+
+namespace egretledge::harness
+{
+
+using namespace pool;
+
+namespace
+{
+
+constexpr microseconds tick_time{20000};
+constexpr microseconds come_back_after{1300000};
+constexpr microseconds late_least{2000000}; // an order without an answer is carried out 2 to 12 s later
+constexpr microseconds late_most{12000000};
+constexpr std::int64_t epoch_ms = 1800000000000; // any Unix time
+const char* const service = "desk";
+
+} // namespace
+
+struct pool_world::host_slot
+{
+    std::unique_ptr<pool_host> logic;
+    std::uint64_t life = 0;
+    microseconds frozen_until{0};
+    std::string name;
+    std::string data_centre;
+    std::vector<std::function<void()>> held_up; // what arrived while it was frozen
+};
+
+pool_world::pool_world(pool_world_settings settings)
+    : m_settings(std::move(settings)), m_random(m_settings.seed)
+{
+    std::uniform_real_distribution<double> rate(0.98, 1.0);
+    for (std::uint32_t centre = 0; centre < m_settings.data_centres; ++centre)
+    {
+        const auto name = "dc" + std::to_string(centre + 1);
+        for (std::uint32_t i = 0; i < m_settings.workers_per_centre; ++i)
+        {
+            worker_entry entry;
+            entry.id = name + "-w" + std::to_string(i + 1);
+            entry.service = service;
+            entry.address = entry.id;
+            entry.data_centre = name;
+            entry.capacity = {m_settings.worker_cpu, 32768, 0};
+            m_workers.push_back(std::make_unique<standin::pool_worker_model>(
+                entry, rate(m_random),
+                [this](const task_name& task)
+                {
+                    const auto& job = m_jobs.at(task.job);
+                    return standin::task_behaviour{job.task_time,
+                                                   m_failing_jobs.contains(task.job),
+                                                   job.request.steps[task.step].need};
+                },
+                standin::pool_worker_model::observer{
+                    [this](microseconds, const std::string& worker, const run_ref& run)
+                    { on_started(worker, run); },
+                    [this](microseconds, const std::string& worker, const run_ref& run,
+                           run_end end) { on_ended(worker, run, end); }}));
+        }
+        for (std::uint32_t i = 0; i < m_settings.hosts_per_centre; ++i)
+        {
+            auto slot = std::make_unique<host_slot>();
+            slot->name = name + "-h" + std::to_string(i + 1);
+            slot->data_centre = name;
+            m_hosts.push_back(std::move(slot));
+        }
+    }
+    for (std::uint32_t host = 0; host < host_count(); ++host)
+        start_host(host);
+}
+
+pool_world::~pool_world() = default;
+
+instant pool_world::clocks() const
+{
+    return {m_now, milliseconds{epoch_ms + m_now.count() / 1000}};
+}
+
+microseconds pool_world::delay()
+{
+    return microseconds{std::uniform_int_distribution<std::int64_t>(200, 1500)(m_random)};
+}
+
+void pool_world::at(microseconds time, std::function<void()> what)
+{
+    m_events.push({time, m_order++, std::move(what)});
+}
+
+void pool_world::run_until(microseconds time)
+{
+    while (!m_events.empty() && m_events.top().when <= time)
+    {
+        const auto next = m_events.top();
+        m_events.pop();
+        m_now = std::max(m_now, next.when);
+        advance_workers();
+        next.what();
+    }
+    m_now = time;
+    advance_workers();
+}
+
+void pool_world::advance_workers()
+{
+    for (auto& worker : m_workers)
+        if (worker->up())
+            worker->advance(m_now);
+}
+
+worker_registry pool_world::registry() const
+{
+    worker_registry all;
+    for (const auto& worker : m_workers)
+        all.emplace(worker->entry().id, worker->entry());
+    return all;
+}
+
+void pool_world::start_host(std::uint32_t index)
+{
+    auto& slot = *m_hosts[index];
+    if (slot.logic)
+        return;
+    auto settings = m_settings.host;
+    settings.members.self = {slot.name, static_cast<std::uint64_t>(clocks().wall.count())};
+    settings.members.data_centre = slot.data_centre;
+    settings.members.address = slot.name;
+    slot.logic = std::make_unique<pool_host>(settings);
+    const auto life = ++slot.life;
+    decide(index,
+           [&](pool_host& host, instant now, action_list& out)
+           {
+               for (const auto& other : m_hosts)
+                   host.introduce(now, other->name, other->name, out);
+               auto config = std::make_shared<route_config>();
+               config->version = 1;
+               host.set_config(now, config, out);
+               host.set_registry(now, registry(), out);
+           });
+    tick(index, life);
+}
+
+void pool_world::kill_host(std::uint32_t index)
+{
+    auto& slot = *m_hosts[index];
+    slot.logic.reset();
+    ++slot.life;
+    slot.held_up.clear();
+    slot.frozen_until = microseconds{0};
+    break_calls(index);
+}
+
+void pool_world::freeze_host(std::uint32_t index, microseconds time)
+{
+    m_hosts[index]->frozen_until = m_now + time;
+    at(m_now + time,
+       [this, index]
+       {
+           auto& slot = *m_hosts[index];
+           if (m_now < slot.frozen_until)
+               return;
+           slot.frozen_until = microseconds{0};
+           for (auto& what : std::exchange(slot.held_up, {}))
+               what();
+       });
+}
+
+void pool_world::stop_host(std::uint32_t index)
+{
+    decide(index, [](pool_host& host, instant now, action_list& out) { host.begin_stop(now, out); });
+}
+
+const pool_host* pool_world::host(std::uint32_t index) const
+{
+    return m_hosts[index]->logic.get();
+}
+
+void pool_world::cut_hosts(std::uint32_t a, std::uint32_t b, bool cut)
+{
+    const auto pair = std::minmax(a, b);
+    if (cut)
+        m_cut_hosts.insert({pair.first, pair.second});
+    else
+        m_cut_hosts.erase({pair.first, pair.second});
+}
+
+void pool_world::cut_worker(std::uint32_t host, std::uint32_t worker, bool cut)
+{
+    if (cut)
+        m_cut_workers.insert({host, worker});
+    else
+        m_cut_workers.erase({host, worker});
+}
+
+standin::pool_worker_model& pool_world::worker(std::uint32_t index)
+{
+    return *m_workers[index];
+}
+
+void pool_world::crash_worker(std::uint32_t index)
+{
+    if (m_workers[index]->up())
+        m_workers[index]->crash(m_now);
+}
+
+void pool_world::restart_worker(std::uint32_t index)
+{
+    if (!m_workers[index]->up())
+        m_workers[index]->restart(m_now);
+}
+
+void pool_world::tick(std::uint32_t index, std::uint64_t life)
+{
+    const auto& slot = *m_hosts[index];
+    if (slot.life != life || !slot.logic)
+        return;
+    decide(index, [](pool_host& host, instant now, action_list& out) { host.tick(now, out); });
+    at(m_now + tick_time, [this, index, life] { tick(index, life); });
+}
+
+void pool_world::decide(std::uint32_t index,
+                        const std::function<void(pool_host&, instant, action_list&)>& what)
+{
+    auto& slot = *m_hosts[index];
+    if (!slot.logic)
+        return;
+    if (m_now < slot.frozen_until)
+    {
+        const auto life = slot.life;
+        slot.held_up.push_back(
+            [this, index, life, what]
+            {
+                if (m_hosts[index]->life == life)
+                    decide(index, what);
+            });
+        return;
+    }
+    action_list out;
+    what(*slot.logic, clocks(), out);
+    carry_out(index, out);
+}
+
+void pool_world::carry_out(std::uint32_t index, action_list& actions)
+{
+    for (auto& action : actions)
+    {
+        if (const auto* answer = std::get_if<actions::answer_call>(&action))
+            on_answer(index, answer->call, answer->answer);
+        else if (const auto* message = std::get_if<actions::send_peer>(&action))
+        {
+            for (std::uint32_t to = 0; to < host_count(); ++to)
+            {
+                if (m_hosts[to]->name != message->host || m_cut_hosts.contains(std::minmax(index, to)))
+                    continue;
+                const auto life = m_hosts[to]->life;
+                at(m_now + delay(),
+                   [this, to, life, text = message->message]
+                   {
+                       if (m_hosts[to]->life == life)
+                           decide(to, [text](pool_host& host, instant now, action_list& out)
+                                  { host.on_peer(now, text, out); });
+                   });
+            }
+        }
+        else if (const auto* hold = std::get_if<actions::hold_worker>(&action))
+            order_worker(index, *hold);
+        else if (const auto* start = std::get_if<actions::start_run>(&action))
+            order_worker(index, *start);
+        else if (const auto* stop = std::get_if<actions::stop_run>(&action))
+            order_worker(index, *stop);
+        else if (const auto* line = std::get_if<actions::log_event>(&action); line && trace)
+            std::cout << m_now.count() / 1000.0 << " " << m_hosts[index]->name << " " << line->text
+                      << '\n';
+    }
+}
+
+template <class Order>
+void pool_world::order_worker(std::uint32_t index, const Order& order)
+{
+    const auto life = m_hosts[index]->life;
+    std::uint32_t target = 0;
+    while (m_workers[target]->entry().id != order.worker)
+        ++target;
+    const bool late = std::bernoulli_distribution(m_late_share)(m_random);
+    const auto when =
+        m_now + (late ? microseconds{std::uniform_int_distribution<std::int64_t>(
+                            late_least.count(), late_most.count())(m_random)}
+                      : delay());
+    // Whatever happens, the host hears of its order within the time-out.
+    at(m_now + order.timeout,
+       [this, index, life, request = order.request]
+       {
+           if (m_hosts[index]->life == life)
+               decide(index, [request](pool_host& host, instant now, action_list& out)
+                      { host.on_worker(now, request, {}, out); });
+       });
+    if (m_cut_workers.contains({index, target}))
+        return;
+    at(when, [this, index, life, target, order, late] { deliver(index, life, target, order, !late); });
+}
+
+template <class Order>
+void pool_world::deliver(std::uint32_t index, std::uint64_t life, std::uint32_t target, Order order,
+                         bool answered)
+{
+    auto& worker = *m_workers[target];
+    if (!worker.up())
+        return;
+    worker_reply reply;
+    if constexpr (std::is_same_v<Order, actions::hold_worker>)
+    {
+        reply = worker.hold(m_now, order);
+        if (answered && reply.result == order_result::accepted && order.wait.count() > 0 &&
+            !worker.has_news(order.ends_seen))
+            return poll_hold(index, life, target, order, m_now + order.wait);
+    }
+    else if constexpr (std::is_same_v<Order, actions::start_run>)
+        reply = worker.start(m_now, order);
+    else
+        reply = worker.stop(m_now, order);
+    if (answered)
+        answer_order(index, life, target, order.request, reply);
+}
+
+void pool_world::poll_hold(std::uint32_t index, std::uint64_t life, std::uint32_t target,
+                           actions::hold_worker order, microseconds until)
+{
+    constexpr microseconds step{2000};
+    at(m_now + step,
+       [this, index, life, target, order, until]
+       {
+           const auto& worker = *m_workers[target];
+           if (!worker.up())
+               return;
+           if (worker.has_news(order.ends_seen) || m_now >= until)
+               return answer_order(index, life, target, order.request, worker.lists(m_now));
+           poll_hold(index, life, target, order, until);
+       });
+}
+
+void pool_world::answer_order(std::uint32_t index, std::uint64_t life, std::uint32_t target,
+                              std::uint64_t request, worker_reply reply)
+{
+    if (m_cut_workers.contains({index, target}))
+        return;
+    at(m_now + delay(),
+       [this, index, life, request, reply = std::move(reply)]
+       {
+           if (m_hosts[index]->life == life)
+               decide(index, [request, reply](pool_host& host, instant now, action_list& out)
+                      { host.on_worker(now, request, reply, out); });
+       });
+}
+
+void pool_world::submit(std::uint32_t host, const std::string& id, std::uint32_t count, room need,
+                        microseconds task_time, bool comes_back)
+{
+    auto& job = m_jobs[id];
+    job.request.id = id;
+    job.request.payload = "p";
+    job_step step;
+    step.count = count;
+    step.need = need;
+    step.estimate = std::chrono::duration_cast<milliseconds>(task_time);
+    job.request.steps = {step};
+    job.request.terms = {"r", service, 0, 3, 1.6, milliseconds{60}, milliseconds{3000}};
+    job.task_time = task_time;
+    job.comes_back = comes_back;
+    send_call(host, id);
+}
+
+void pool_world::send_call(std::uint32_t host, const std::string& id)
+{
+    auto& job = m_jobs.at(id);
+    const auto call = m_calls.size();
+    job.calls.push_back(call);
+    m_calls.push_back({id, m_now, microseconds{-1}, {}, false});
+    if (!m_hosts[host]->logic)
+    {
+        m_calls[call].broken = true;
+        return;
+    }
+    decide(host, [call, request = job.request](pool_host& logic, instant now, action_list& out)
+           { logic.on_job(now, (call << 8), request, out); });
+    m_calls[call].answer.detail = std::to_string(host); // until it is answered: the host
+}
+
+void pool_world::caller_leaves(const std::string& id)
+{
+    const auto call = m_jobs.at(id).calls.back();
+    auto& record = m_calls[call];
+    if (record.answered.count() >= 0 || record.broken)
+        return;
+    const auto host = static_cast<std::uint32_t>(std::stoul(record.answer.detail));
+    record.broken = true;
+    decide(host, [call](pool_host& logic, instant now, action_list& out)
+           { logic.on_caller_gone(now, call << 8, out); });
+}
+
+void pool_world::break_calls(std::uint32_t host)
+{
+    for (std::size_t call = 0; call < m_calls.size(); ++call)
+    {
+        auto& record = m_calls[call];
+        if (record.broken || record.answered.count() >= 0 ||
+            record.answer.detail != std::to_string(host))
+            continue;
+        record.broken = true;
+        if (!m_jobs.at(record.job).comes_back)
+            continue;
+        at(m_now + come_back_after,
+           [this, host, job = record.job] { send_call((host + 1) % host_count(), job); });
+    }
+}
+
+void pool_world::on_answer(std::uint32_t, std::uint64_t number, const call_answer& answer)
+{
+    auto& record = m_calls[number >> 8];
+    if (record.broken)
+        return;
+    if (record.answered.count() >= 0)
+        violated("call answered twice: " + record.job);
+    record.answered = m_now;
+    record.answer = answer;
+    const auto& job = m_jobs.at(record.job);
+    if (answer.kind == answer_kind::ok && job.done.size() < job.request.steps[0].count)
+        violated("complete without all tasks done: " + record.job);
+    if (trace)
+        std::cout << m_now.count() / 1000.0 << " caller of " << record.job << " is told "
+                  << name_of(answer.kind) << '\n';
+}
+
+const pool_world::call_record* pool_world::last_call(const std::string& job) const
+{
+    const auto known = m_jobs.find(job);
+    return known == m_jobs.end() ? nullptr : &m_calls[known->second.calls.back()];
+}
+
+void pool_world::violated(const std::string& what)
+{
+    m_violations.push_back(std::to_string(m_now.count() / 1000) + " ms: " + what);
+    if (trace)
+        std::cout << "VIOLATION " << m_violations.back() << '\n';
+}
+
+void pool_world::on_started(const std::string& worker, const run_ref& run)
+{
+    ++m_starts;
+    auto& job = m_jobs.at(run.task.job);
+    ++job.starts;
+    if (trace)
+        std::cout << m_now.count() / 1000.0 << " " << worker << " starts " << run.task.job << "."
+                  << run.task.index << "#" << run.number << '\n';
+    if (const auto other = job.running.find(run.task); other != job.running.end())
+        violated("two runs at once of " + run.task.job + "." + std::to_string(run.task.index) +
+                 " on " + other->second + " and " + worker);
+    job.running[run.task] = worker;
+    for (const auto& model : m_workers)
+        if (model->entry().id == worker && !model->used().fits(model->entry().capacity))
+            violated("over capacity: " + worker + " uses " + std::to_string(model->used().cpu));
+}
+
+void pool_world::on_ended(const std::string& worker, const run_ref& run, run_end end)
+{
+    auto& job = m_jobs.at(run.task.job);
+    if (const auto known = job.running.find(run.task);
+        known != job.running.end() && known->second == worker)
+        job.running.erase(known);
+    if (end == run_end::done)
+        ++job.done[run.task];
+}
+
+std::vector<std::string> pool_world::violations()
+{
+    for (const auto& [id, job] : m_jobs)
+    {
+        const bool all_refused = std::all_of(
+            job.calls.begin(), job.calls.end(),
+            [&](std::size_t call)
+            {
+                const auto& record = m_calls[call];
+                return record.answered.count() >= 0 &&
+                       row_of(record.answer.kind).result == outcome::not_run;
+            });
+        if (all_refused && job.starts > 0)
+            violated("refused as not run, but it started: " + id);
+    }
+    for (const auto& record : m_calls)
+        if (!record.broken && record.answered.count() < 0 &&
+            m_now - record.sent > std::chrono::seconds{8})
+            violated("never answered: " + record.job);
+    return m_violations;
+}
+
+} // namespace egretledge::harness
--- /dev/null
+++ b/harness/pool_world.hpp
@@ -0,0 +1,144 @@
+#ifndef EGRETLEDGE_HARNESS_POOL_WORLD_HPP
+#define EGRETLEDGE_HARNESS_POOL_WORLD_HPP
+
+// Entry hosts and workers of the pooled kind in virtual time, with faults, callers and a checker.
+// The same seed gives the same run. The hosts run the daemon's own decision code.
+//
+// The checker watches workers and callers only: a worker's capacity is never exceeded, no task runs
+// twice at once, nothing of a job starts once all its submissions were refused, a complete answer
+// covers every task, and every call is answered once.
+
+#include "pool/pool_host.hpp"
+#include "standin/pool_worker_model.hpp"
+#include <queue>
+#include <random>
+
+namespace egretledge::harness
+{
+
+struct pool_world_settings
+{
+    std::uint32_t data_centres = 3;
+    std::uint32_t hosts_per_centre = 2;
+    std::uint32_t workers_per_centre = 6;
+    std::int64_t worker_cpu = 16000;
+    std::uint64_t seed = 1;
+    pool::pool_host_settings host; // names are filled in
+};
+
+class pool_world
+{
+public:
+    explicit pool_world(pool_world_settings settings);
+    ~pool_world();
+
+    microseconds now() const { return m_now; }
+    void run_until(microseconds time);
+    void at(microseconds time, std::function<void()> what);
+
+    // Submits a job of `count` equal tasks at a host. A caller whose connection breaks submits it
+    // again 1.3 s later at another host, if `comes_back`.
+    void submit(std::uint32_t host, const std::string& id, std::uint32_t count, pool::room need,
+                microseconds task_time, bool comes_back = false);
+    void caller_leaves(const std::string& id);
+    void make_failing(const std::string& id) { m_failing_jobs.insert(id); }
+
+    std::uint32_t host_count() const { return static_cast<std::uint32_t>(m_hosts.size()); }
+    void kill_host(std::uint32_t host);
+    void start_host(std::uint32_t host);
+    void freeze_host(std::uint32_t host, microseconds time);
+    void stop_host(std::uint32_t host); // gracefully
+    const pool::pool_host* host(std::uint32_t index) const;
+    void cut_hosts(std::uint32_t a, std::uint32_t b, bool cut);
+    void cut_worker(std::uint32_t host, std::uint32_t worker, bool cut);
+    std::uint32_t worker_count() const { return static_cast<std::uint32_t>(m_workers.size()); }
+    standin::pool_worker_model& worker(std::uint32_t index);
+    void crash_worker(std::uint32_t index);
+    void restart_worker(std::uint32_t index);
+    // This share of orders gets no answer and is carried out seconds later.
+    void set_late_share(double share) { m_late_share = share; }
+
+    // What happened.
+    struct call_record
+    {
+        std::string job;
+        microseconds sent{0};
+        microseconds answered{-1};
+        pool::call_answer answer;
+        bool broken = false; // the connection ended without an answer
+    };
+    const std::vector<call_record>& calls() const { return m_calls; }
+    const call_record* last_call(const std::string& job) const;
+    std::size_t starts() const { return m_starts; }
+    // Empty if all rules were kept. Checks at the end of a run too.
+    std::vector<std::string> violations();
+    // Set to see every event on standard output.
+    bool trace = false;
+
+private:
+    struct host_slot;
+    struct event
+    {
+        microseconds when{0};
+        std::uint64_t order = 0;
+        std::function<void()> what;
+        bool operator<(const event& other) const
+        {
+            return std::tie(when, order) > std::tie(other.when, other.order);
+        }
+    };
+    struct job_record
+    {
+        pool::job_request request;
+        microseconds task_time{0};
+        bool comes_back = false;
+        std::map<pool::task_name, std::string> running; // task -> worker
+        std::map<pool::task_name, std::uint32_t> done;
+        std::size_t starts = 0;
+        std::vector<std::size_t> calls;
+    };
+
+    instant clocks() const;
+    microseconds delay();
+    void tick(std::uint32_t host, std::uint64_t life);
+    void decide(std::uint32_t host,
+                const std::function<void(pool::pool_host&, instant, pool::action_list&)>& what);
+    void carry_out(std::uint32_t host, pool::action_list& actions);
+    template <class Order>
+    void order_worker(std::uint32_t host, const Order& order);
+    template <class Order>
+    void deliver(std::uint32_t host, std::uint64_t life, std::uint32_t worker, Order order,
+                 bool answered);
+    void answer_order(std::uint32_t host, std::uint64_t life, std::uint32_t worker,
+                      std::uint64_t request, pool::worker_reply reply);
+    void poll_hold(std::uint32_t host, std::uint64_t life, std::uint32_t worker,
+                   pool::actions::hold_worker order, microseconds until);
+    void on_answer(std::uint32_t host, std::uint64_t call, const pool::call_answer& answer);
+    void break_calls(std::uint32_t host);
+    void send_call(std::uint32_t host, const std::string& id);
+    void advance_workers();
+    void on_started(const std::string& worker, const pool::run_ref& run);
+    void on_ended(const std::string& worker, const pool::run_ref& run, pool::run_end end);
+    void violated(const std::string& what);
+    pool::worker_registry registry() const;
+
+    pool_world_settings m_settings;
+    std::mt19937_64 m_random;
+    microseconds m_now{0};
+    std::uint64_t m_order = 0;
+    std::priority_queue<event> m_events;
+    std::vector<std::unique_ptr<host_slot>> m_hosts;
+    std::vector<std::unique_ptr<standin::pool_worker_model>> m_workers;
+    std::set<std::pair<std::uint32_t, std::uint32_t>> m_cut_hosts;
+    std::set<std::pair<std::uint32_t, std::uint32_t>> m_cut_workers;
+    std::map<std::string, job_record> m_jobs;
+    std::set<std::string> m_failing_jobs;
+    std::vector<call_record> m_calls;
+    std::vector<std::string> m_violations;
+    std::size_t m_starts = 0;
+    double m_late_share = 0;
+};
+
+} // namespace egretledge::harness
+
+#endif
--- a/src/pool/entry.cpp
+++ b/src/pool/entry.cpp
@@ -272,6 +272,13 @@
             call.pool = *next;
             return send(now, call, out);
         }
+        // No pool can take it yet, which may change within its time: workers are being taken over.
+        if (answer.kind == answer_kind::no_worker_fits && now - call.arrived < spare_time(call.job))
+        {
+            call.tried.clear();
+            call.parked = true;
+            return;
+        }
     }
     settle(now, number, std::move(answer), out);
 }
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -155,8 +155,37 @@
         m_pool.release(id);
 }
 
+// True if workers of the service are listed and none of them is large enough for some step.
+bool pool_host::too_large(const job_request& job) const
+{
+    bool listed = false;
+    for (const auto& step : job.steps)
+    {
+        bool fits = false;
+        for (const auto& [id, entry] : m_registry)
+        {
+            if (entry.service != job.terms.service)
+                continue;
+            listed = true;
+            fits = fits || step.need.fits(entry.capacity);
+        }
+        if (listed && !fits)
+            return true;
+    }
+    return false;
+}
+
 void pool_host::on_job(instant now, std::uint64_t call, job_request job, action_list& out)
 {
+    if (too_large(job))
+    {
+        out.push_back(actions::log_event{
+            true, "event=answered job=" + job.id + " route=" + job.terms.route +
+                      " outcome=no_worker_fits pool=none detail=\"larger than every worker\""});
+        out.push_back(actions::answer_call{
+            call, {answer_kind::no_worker_fits, m_settings.workers.least_retry_after, {}}});
+        return;
+    }
     m_entry.submit(now, call, std::move(job), out);
     pass_results(now, out);
     stamp(out);
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -69,6 +69,7 @@
 
 private:
     void take_and_yield(instant now, action_list& out);
+    bool too_large(const job_request& job) const;
     bool may_take(const worker_entry& entry, instant now, action_list& out);
     void pass_results(instant now, action_list& out);
     void on_pool_job(instant now, const host_ref& from, const wire::PoolJob& message,
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,252 @@
+#define BOOST_TEST_MODULE platform
+#include "io/edge_settings.hpp"
+#include "platform/wire.hpp"
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <random>
+
+using namespace egretledge;
+using namespace egretledge::platform;
+namespace json = boost::json;
+
+namespace
+{
+
+const std::string a_job =
+    R"({"spec":"text","steps":[{"count":4,"cpu":6800,"mem_mb":64,"est_ms":900,"data_rack":"r1-3"},)"
+    R"({"count":2,"cpu":500,"after":[0],"required_label":"a","max_per_server":1}],"best_effort":true})";
+
+expected<http_reply> reply(unsigned status, const std::string& body)
+{
+    return http_reply{status, body};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_job_is_decoded_whole)
+{
+    const auto job = decode_job(a_job);
+    BOOST_REQUIRE(job);
+    BOOST_TEST(job->payload == "text");
+    BOOST_REQUIRE(job->steps.size() == 2U);
+    BOOST_TEST(job->steps[0].count == 4U);
+    BOOST_TEST(job->steps[0].need.cpu == 6800);
+    BOOST_TEST(job->steps[0].estimate.count() == 900);
+    BOOST_TEST(job->steps[0].preferred_rack == "r1-3");
+    BOOST_TEST(job->steps[1].after.at(0) == 0U);
+    BOOST_TEST(job->steps[1].required_label == "a");
+    BOOST_TEST(job->steps[1].most_per_worker == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(jobs_that_are_not_served_or_malformed_are_refused)
+{
+    const char* bad[] = {
+        "", "[]", "{", R"({"steps":[{"count":1}]})", R"({"best_effort":true})",
+        R"({"best_effort":true,"steps":[{"count":0}]})",
+        R"({"best_effort":true,"steps":[{"count":-1}]})",
+        R"({"best_effort":true,"steps":[{"count":"4"}]})",
+        R"({"best_effort":true,"steps":[{"count":1,"gang":true}]})",
+        R"({"best_effort":true,"steps":[{"count":1,"daemon":true}]})",
+        R"({"best_effort":true,"steps":[{"count":1,"after":["x"]}]})",
+        R"({"best_effort":true,"times":2,"steps":[{"count":1}]})", R"({"best_effort":true,"steps":[7]})"};
+    for (const auto* body : bad)
+        BOOST_TEST(!decode_job(body).has_value(), body);
+}
+
+BOOST_AUTO_TEST_CASE(cut_and_changed_messages_never_throw)
+{
+    std::mt19937_64 random(7);
+    const std::string texts[] = {
+        a_job,
+        R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/","stretch":1.6}],"limits":{}})",
+        R"({"service":"s","addr":"1.2.3.4:5","zone":"z","state":"ready","capacity":{"cpu":1}})",
+        R"({"clock_ms":4,"running":[["a.0.1.2",1,"",4]],"ended":[[5,"a.0.1.2",1,"done",""]]})",
+        R"({"items":[{"key":"k","value":"YWJj","offset":4}],"has_more":false,"end":6})"};
+    for (const auto& text : texts)
+        for (int round = 0; round < 400; ++round)
+        {
+            auto changed = text;
+            changed[random() % changed.size()] = static_cast<char>(random());
+            changed.resize(random() % (changed.size() + 1));
+            (void)decode_job(changed);
+            (void)decode_config(changed);
+            (void)decode_worker("i", changed);
+            (void)decode_host(changed);
+            (void)decode_page(changed);
+            (void)decode_batch(changed);
+            (void)decode_reply(reply(200, changed));
+        }
+    BOOST_TEST(decode_job(a_job).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_names_routes_and_their_terms)
+{
+    const std::string text =
+        R"({"version":7,"routes":[{"name":"r-1","host":"nony.example","path_prefix":"/a/","kind":"x",)"
+        R"("timeout_ms":1500,"slo_ms":60,"priority":2,"service":"s","max_attempts":4,"stretch":1.6}],)"
+        R"("services":[],"limits":{"max_body_bytes":1000}})";
+    const auto config = decode_config(text);
+    BOOST_REQUIRE(config);
+    BOOST_TEST(config->version == 7U);
+    BOOST_TEST(config->published == text);
+    BOOST_TEST(config->most_body_bytes == 1000U);
+    const auto& route = config->routes.at(0);
+    BOOST_TEST(route.terms.service == "s");
+    BOOST_TEST(route.terms.priority == 2U);
+    BOOST_TEST(route.terms.most_attempts == 4U);
+    BOOST_TEST(route.terms.stretch == 1.6);
+    BOOST_TEST(route.terms.slack.count() == 60);
+    BOOST_TEST(route.terms.wait.count() == 1500);
+    BOOST_TEST(!decode_config(R"({"routes":[]})").has_value());
+    BOOST_TEST(!decode_config(R"({"version":3,"routes":[4]})").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(entries_of_other_writers_name_no_worker)
+{
+    const std::string good =
+        R"({"service":"s","addr":"10.0.0.9:8080","zone":"z","state":"draining",)"
+        R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"born":17})";
+    const auto entry = decode_worker("i-1", good);
+    BOOST_REQUIRE(entry);
+    BOOST_TEST(entry->leaving);
+    BOOST_TEST(entry->capacity.cpu == 16000);
+    BOOST_TEST(entry->labels.size() == 2U);
+    BOOST_TEST(entry->born_ms == 17U);
+    const char* bad[] = {"\xff\xfe", "7", R"({"service":"s"})",
+                         R"({"service":"s","addr":"a:1","zone":"z","state":"new","capacity":{}})",
+                         R"({"service":"s","addr":"a:1","zone":"z","state":"ready","capacity":7})",
+                         R"({"service":4,"addr":"a:1","zone":"z","state":"ready","capacity":{}})",
+                         R"({"service":"s","addr":"a:1","zone":"z","state":"ready","capacity":{"cpu":"x"}})"};
+    for (const auto* text : bad)
+        BOOST_TEST(!decode_worker("i-1", text).has_value(), text);
+}
+
+BOOST_AUTO_TEST_CASE(task_names_round_trip)
+{
+    const pool::task_name task{"5c0e7a21d94b36f8", 0, 1, 17};
+    BOOST_TEST(encode_task(task) == "5c0e7a21d94b36f8.0.1.17");
+    BOOST_TEST((decode_task(encode_task(task)) == task));
+    BOOST_TEST(decode_task("no name").job == "no name");
+    BOOST_TEST(decode_task("a.b.c.d").job == "a.b.c.d");
+}
+
+BOOST_AUTO_TEST_CASE(orders_carry_fence_lease_and_lifetime)
+{
+    pool::actions::start_run order;
+    order.worker = "i-1";
+    order.address = "10.0.0.9:80";
+    order.fence = 9;
+    order.lease_until_ms = 486000;
+    order.run = {{"5c0e7a21d94b36f8", 0, 1, 17}, 2};
+    order.payload = "text";
+    const auto call = encode(order);
+    BOOST_TEST(call.target == "/run-start");
+    BOOST_TEST(call.headers.at(0).second == "i-1");
+    const auto body = json::parse(call.body).as_object();
+    BOOST_TEST(body.at("task").as_string() == "5c0e7a21d94b36f8.0.1.17");
+    BOOST_TEST(body.at("run").to_number<int>() == 2);
+    BOOST_TEST(body.at("deadline_ms").to_number<int>() == 486000);
+    BOOST_TEST(body.at("fence").to_number<int>() == 9);
+    pool::actions::hold_worker hold;
+    hold.ends_seen = 57;
+    const auto look = json::parse(encode(hold).body).as_object();
+    BOOST_TEST(look.at("ack_cursor").to_number<int>() == 57);
+    BOOST_TEST(!look.contains("deadline_ms"));
+    BOOST_TEST(!look.contains("wait_ms"));
+}
+
+BOOST_AUTO_TEST_CASE(a_workers_answers_tell_what_was_done)
+{
+    using pool::order_result;
+    const auto result = [](unsigned status, const std::string& body)
+    { return decode_reply(reply(status, body)).result; };
+    BOOST_TEST((result(200, R"({"clock_ms":4})") == order_result::accepted));
+    BOOST_TEST((result(409, R"({"reason":"fence"})") == order_result::stale_fence));
+    BOOST_TEST((result(409, R"({"reason":"old"})") == order_result::stale_run));
+    BOOST_TEST((result(409, R"({"reason":"late"})") == order_result::too_late));
+    BOOST_TEST((result(409, R"({"reason":"room"})") == order_result::no_room));
+    BOOST_TEST((result(421, "") == order_result::other_lifetime));
+    BOOST_TEST((result(503, "") == order_result::unhealthy));
+    BOOST_TEST((result(400, "") == order_result::malformed));
+    BOOST_TEST((result(500, "") == order_result::no_answer));
+    const expected<http_reply> nothing_sent =
+        tl::make_unexpected(error{error_kind::unreachable, "refused"});
+    const expected<http_reply> lost = tl::make_unexpected(error{error_kind::timed_out, "late"});
+    BOOST_TEST((decode_reply(nothing_sent).result == order_result::unreachable));
+    BOOST_TEST((decode_reply(lost).result == order_result::no_answer));
+    const auto lists = decode_reply(reply(
+        200,
+        R"({"clock_ms":482113,"born":3,"running":[["5c.0.1.17",2,"00",41]],"ended":[[58,"5c.0.1.9",1,"lapsed",""]]})"));
+    BOOST_TEST(lists.clock_ms == 482113);
+    BOOST_TEST(lists.born_ms == 3U);
+    BOOST_TEST(lists.running.at(0).percent == 41U);
+    BOOST_TEST(lists.running.at(0).run.number == 2U);
+    BOOST_TEST(lists.ended.at(0).number == 58U);
+    BOOST_TEST((lists.ended.at(0).end == pool::run_end::lapsed));
+}
+
+BOOST_AUTO_TEST_CASE(records_round_trip)
+{
+    const keyed_record record{"edge-1", encode_host({"tcp://10.0.0.1:7720", 17})};
+    const std::string offsets("\0\0\0\0\0\0\3\x4a\0\0\0\0\0\0\0\2", 16);
+    const auto batch = decode_batch(offsets + encode_record(record) + encode_record({"gone", {}}));
+    BOOST_REQUIRE(batch);
+    BOOST_TEST(batch->end == 842U);
+    BOOST_TEST(batch->first == 2U);
+    BOOST_TEST(batch->records.at(0).key == "edge-1");
+    const auto host = decode_host(*batch->records.at(0).value);
+    BOOST_REQUIRE(host);
+    BOOST_TEST(host->address == "tcp://10.0.0.1:7720");
+    BOOST_TEST(host->incarnation == 17U);
+    BOOST_TEST(!batch->records.at(1).value.has_value());
+    BOOST_TEST(!decode_batch(offsets + std::string("\0\0\0\x9z", 5)).has_value());
+    const auto page =
+        decode_page(R"({"items":[{"key":"k","value":"YWJjZA==","offset":4}],"has_more":true,"end":6})");
+    BOOST_REQUIRE(page);
+    BOOST_TEST(*page->records.at(0).value == "abcd");
+    BOOST_TEST(page->more);
+}
+
+BOOST_AUTO_TEST_CASE(callers_are_told_by_status)
+{
+    const auto status = [](answer_kind kind) { return encode_answer({kind, {}, {}}).status; };
+    BOOST_TEST(status(answer_kind::ok) == 200U);
+    BOOST_TEST(status(answer_kind::task_failed) == 200U);
+    BOOST_TEST(status(answer_kind::over_capacity) == 503U);
+    BOOST_TEST(status(answer_kind::expired_in_queue) == 503U);
+    BOOST_TEST(status(answer_kind::worker_lost) == 504U);
+    BOOST_TEST(status(answer_kind::deadline_passed) == 504U);
+    BOOST_TEST(encode_answer({answer_kind::ok, {}, {}}).body == R"({"state":"complete"})");
+}
+
+BOOST_AUTO_TEST_CASE(the_settings_template_names_every_setting_that_must_be_there)
+{
+    std::ifstream file(EGRETLEDGE_SOURCE_DIR "/deploy/edge.yaml");
+    std::string text((std::istreambuf_iterator<char>(file)), {});
+    BOOST_TEST(!text.empty());
+    const std::pair<std::string, std::string> values[] = {
+        {"{{node}}", "edge-1"},          {"{{zone}}", "jaro-depot"},
+        {"{{listen.front}}", "1.2.3.4:1"}, {"{{listen.ready}}", "1.2.3.4:2"},
+        {"{{listen.control}}", "1.2.3.4:3"}, {"{{ip}}", "1.2.3.4"},
+        {"{{port_range.0}}", "7720"},    {"{{platform.addr}}", "1.2.3.5:9"},
+        {"{{bounds.grace_s}}", "6"},     {"{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", "\"1.2.3.6:3\""}};
+    for (const auto& [mark, value] : values)
+        for (auto at = text.find(mark); at != std::string::npos; at = text.find(mark))
+            text.replace(at, mark.size(), value);
+    BOOST_TEST(text.find("{{") == std::string::npos);
+    const auto settings = parse_edge_settings(text);
+    BOOST_REQUIRE(settings);
+    BOOST_TEST(settings->seeds.at(0) == "1.2.3.6:3");
+    BOOST_TEST(settings->stop_limit.count() == 6000);
+}
+
+BOOST_AUTO_TEST_CASE(faulty_settings_are_told_all_at_once)
+{
+    const auto settings = parse_edge_settings("name: a\ncallers: nowhere\nlog_lines_per_s: 0\n");
+    BOOST_REQUIRE(!settings);
+    for (const char* fault : {"data_centre", "callers", "readiness", "peers", "store", "log_lines_per_s"})
+        BOOST_TEST(settings.error().message.find(fault) != std::string::npos, fault);
+    BOOST_TEST(!parse_edge_settings(": :").has_value());
+    BOOST_TEST(!parse_edge_settings("[]").has_value());
+}
