--- a/src/pool/held_worker.cpp
+++ b/src/pool/held_worker.cpp
@@ -139,8 +139,10 @@
     const auto request = next_request++;
     m_orders[request] = {order_kind::hold, {}, m_fence, now};
     ++m_open_holds;
+    // A hold into silence extends no lease, or the runs there could never be counted as over.
+    const bool renews = !m_runs.empty() && m_silent_since.count() == 0;
     out.push_back(actions::hold_worker{request, m_entry.id, m_entry.address, m_fence,
-                                       m_runs.empty() ? 0 : next_lease(now), m_ends_seen, wait,
+                                       renews ? next_lease(now) : 0, m_ends_seen, wait,
                                        wait + hold_slack});
     m_next_hold = now + m_settings.renew;
 }
--- a/src/pool/members.cpp
+++ b/src/pool/members.cpp
@@ -47,6 +47,10 @@
     if (now - m_last_tick > pause_gap)
         m_listening_since = now;
     m_last_tick = now;
+    if (!settled(now))
+        m_settled_at = microseconds{-1};
+    else if (m_settled_at.count() < 0)
+        m_settled_at = now;
     if (now < m_next_round)
         return;
     m_next_round = now + m_settings.beat_every;
@@ -192,6 +196,8 @@
 bool members::settled(microseconds now) const
 {
     const auto listened = now - m_listening_since;
+    if (m_settled_at > m_listening_since)
+        return true;
     if (listened < m_settings.least_settle)
         return false;
     if (listened >= m_settings.settle)
@@ -205,6 +211,11 @@
                                            });
 }
 
+bool members::may_take(microseconds now) const
+{
+    return m_settled_at.count() >= 0 && now - m_settled_at >= m_settings.announce_settled;
+}
+
 bool members::hears_us(const host_ref& ref, microseconds now) const
 {
     const auto* host = find(ref.name);
--- a/src/pool/members.hpp
+++ b/src/pool/members.hpp
@@ -34,6 +34,8 @@
     // `settle` for the others. A connection takes up to a second if its first packet is lost.
     milliseconds settle{1500};
     milliseconds least_settle{150};
+    // A settled host takes workers only after its peers have heard that it is: two heartbeats.
+    milliseconds announce_settled{250};
     // A silent peer that the platform does not list is forgotten.
     milliseconds forget_after{30000};
 };
@@ -97,6 +99,8 @@
     // True once this host knows who holds what: since it began, or since it last came back from a
     // pause.
     bool settled(microseconds now) const;
+    // True once the peers know that it is settled, and it would know if one of them was.
+    bool may_take(microseconds now) const;
     // False once the host may have given up on this one.
     bool hears_us(const host_ref& host, microseconds now) const;
     const peer* find(const std::string& name) const;
@@ -117,6 +121,7 @@
     microseconds m_next_round{0};
     microseconds m_last_tick{0};
     microseconds m_listening_since{0};
+    microseconds m_settled_at{-1};
 };
 
 } // namespace egretledge::pool
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -130,6 +130,8 @@
 {
     for (const auto& id : m_pool.take_losses())
         m_lost[id] = now.steady;
+    if (!m_leaving && !m_members.may_take(now.steady))
+        return;
     std::vector<candidate> hosts;
     const auto& about = m_settings.members;
     hosts.push_back({about.self.name, about.data_centre,
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -165,12 +165,21 @@
 }
 
 milliseconds worker_pool::expected_wait(microseconds now) const
+{
+    return wait_behind(now, [](const open_job&) { return true; });
+}
+
+milliseconds worker_pool::wait_behind(microseconds now,
+                                      const std::function<bool(const open_job&)>& counts) const
 {
     const auto capacity = static_cast<double>(total_cpu(now)) * packing;
     if (capacity <= 0)
         return milliseconds{1000};
     double work = 0;
     for (const auto& [id, job] : m_jobs)
+    {
+        if (job.waiting == 0 || !counts(job))
+            continue;
         for (const auto& task : job.tasks)
         {
             if (task.stage != task_stage::waiting)
@@ -179,6 +188,7 @@
             work += static_cast<double>(step.need.cpu) *
                     static_cast<double>(expected(job.request, step).count());
         }
+    }
     return milliseconds{static_cast<std::int64_t>(work / capacity)};
 }
 
@@ -258,7 +268,13 @@
     const auto latest = std::min(
         job.give_up,
         job.arrived + std::chrono::duration_cast<microseconds>(allowed * m_settings.late_factor));
-    const auto wait = expected_wait(now);
+    const auto latest_start = job.objective - job.longest;
+    const auto wait = wait_behind(now,
+                                  [&](const open_job& other)
+                                  {
+                                      const auto start = other.objective - other.longest;
+                                      return start >= now && start <= latest_start;
+                                  });
     std::optional<call_answer> refused;
     if (!fits_somewhere(job.request))
         refused = refusal(answer_kind::no_worker_fits, now, "no worker of this pool can run it");
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -154,6 +154,9 @@
     bool accepts(const worker_record& record, microseconds now) const;
     worker_record* choose(const open_job& job, const task_state& task, microseconds now);
     bool fits_somewhere(const job_request& job) const;
+    // The time until the waiting tasks for which `counts` holds have been placed.
+    milliseconds wait_behind(microseconds now,
+                             const std::function<bool(const open_job&)>& counts) const;
     void place(microseconds now, action_list& out);
     bool place_tasks(microseconds now, open_job& job, action_list& out);
     bool eligible(const open_job& job, const task_state& task) const;
