--- a/src/io/edge_settings.hpp
+++ b/src/io/edge_settings.hpp
@@ -20,6 +20,8 @@
     // IP:PORT of some hosts' control addresses; their peers' port is the same as here.
     std::vector<std::string> seeds;
     std::string store; // IP:PORT of the platform's store
+    // A published configuration is in force here within this time while the store can be read.
+    milliseconds config_bound{2000};
     // A planned stop that takes longer is cut off by the platform.
     milliseconds stop_limit{6000};
     std::string log_level = "info"; // debug, info, warning or error
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE platform
 #include "io/edge_settings.hpp"
-#include "platform/wire.hpp"
+#include "io/http_server.hpp"
+#include "platform/store_client.hpp"
+#include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 #include <fstream>
@@ -22,8 +24,117 @@
     return http_reply{status, body};
 }
 
+// A store with one keyed record that a waiting reader is never woken by.
+struct deaf_store
+{
+    boost::asio::io_context context{1};
+    std::string published;
+    std::uint64_t end = 0;
+    unsigned refuse = 0; // answer this many calls with 503 first
+    std::vector<std::string> calls;
+    http_server server{context, {}, [this](http_request request, http_responder respond)
+                       { answer(request, std::move(respond)); }};
+
+    static std::string number(std::uint64_t value)
+    {
+        std::string bytes;
+        for (int shift = 56; shift >= 0; shift -= 8)
+            bytes.push_back(static_cast<char>(value >> shift));
+        return bytes;
+    }
+    void answer(const http_request& request, http_responder respond)
+    {
+        calls.push_back(request.path + "?" + request.query);
+        if (refuse > 0)
+        {
+            --refuse;
+            return respond({503, "", "application/json", 0});
+        }
+        if (request.path == "/log-append")
+            return respond({200, R"({"offset":0,"end":1})", "application/json", 0});
+        if (request.path == "/log-newest")
+            return respond({200, R"({"items":[],"has_more":false,"end":0})", "application/json", 0});
+        const bool config = request.query.find("keyed.op") != std::string::npos;
+        const auto at = request.query.find("wait_ms=");
+        if (!config || at == std::string::npos)
+            return respond({200, number(0) + number(0), "application/octet-stream", 0});
+        const bool old = request.query.find("from=0") != std::string::npos;
+        if (end > 0 && old)
+            return respond({200, number(1) + number(0) + encode_record({"config", published}),
+                            "application/octet-stream", 0});
+        auto timer = std::make_shared<boost::asio::steady_timer>(
+            context, milliseconds{std::stoi(request.query.substr(at + 8))});
+        timer->async_wait([timer, respond](boost::system::error_code)
+                          { respond({200, number(0) + number(0), "application/octet-stream", 0}); });
+    }
+};
+
+// Runs the client until `done` or the limit; returns the time it took.
+milliseconds run_client(deaf_store& store, store_settings settings,
+                        const std::function<bool(const store_client&)>& done, milliseconds publish_at,
+                        milliseconds limit, std::vector<std::uint64_t>& versions)
+{
+    http_client http(store.context, 4);
+    settings.address = "127.0.0.1:" + std::to_string(store.server.port());
+    settings.own_name = "edge-1";
+    store_client client(store.context, http, settings,
+                        {[&](pool::route_config config) { versions.push_back(config.version); },
+                         [](pool::worker_registry) {}, [](const std::string&, const host_record&) {},
+                         [](bool, const std::string&) {}});
+    client.start();
+    const auto begin = std::chrono::steady_clock::now();
+    const auto passed = [&]
+    {
+        return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begin);
+    };
+    while (!done(client) && passed() < limit)
+    {
+        store.context.run_one_for(milliseconds{5});
+        if (passed() >= publish_at)
+            store.end = 1;
+    }
+    client.stop();
+    const auto took = passed();
+    store.context.run_for(milliseconds{20});
+    return took;
+}
+
 } // namespace
 
+// Found by a hunt on pamoja-grid (trouble-3, seed 499913377931): the store does not wake a reader
+// whose wait began while the record was being appended.
+BOOST_AUTO_TEST_CASE(a_change_is_seen_within_one_wait_although_no_reader_is_woken)
+{
+    deaf_store store;
+    store.published = R"({"version":7,"routes":[]})";
+    store_settings settings;
+    settings.config_wait = milliseconds{300};
+    std::vector<std::uint64_t> versions;
+    const auto took = run_client(
+        store, settings, [&](const store_client&) { return !versions.empty(); }, milliseconds{100},
+        milliseconds{5000}, versions);
+    BOOST_REQUIRE(versions.size() == 1U);
+    BOOST_TEST(versions[0] == 7U);
+    BOOST_TEST(took.count() < 2000);
+    BOOST_TEST(store_settings{}.config_wait.count() <= 1000);
+}
+
+BOOST_AUTO_TEST_CASE(a_store_that_refuses_is_asked_again_with_pauses)
+{
+    deaf_store store;
+    store.published = R"({"version":3,"routes":[]})";
+    store.refuse = 6;
+    store_settings settings;
+    settings.config_wait = milliseconds{200};
+    settings.first_retry = milliseconds{20};
+    std::vector<std::uint64_t> versions;
+    run_client(
+        store, settings, [&](const store_client&) { return !versions.empty(); }, milliseconds{0},
+        milliseconds{5000}, versions);
+    BOOST_TEST(versions.size() == 1U);
+    BOOST_TEST(store.calls.size() < 60U);
+}
+
 BOOST_AUTO_TEST_CASE(a_job_is_decoded_whole)
 {
     const auto job = decode_job(a_job);
@@ -230,7 +341,7 @@
         {"{{listen.front}}", "1.2.3.4:1"}, {"{{listen.ready}}", "1.2.3.4:2"},
         {"{{listen.control}}", "1.2.3.4:3"}, {"{{ip}}", "1.2.3.4"},
         {"{{port_range.0}}", "7720"},    {"{{platform.addr}}", "1.2.3.5:9"},
-        {"{{bounds.grace_s}}", "6"},     {"{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", "\"1.2.3.6:3\""}};
+        {"{{bounds.grace_s}}", "6"},     {"{{bounds.config_ms}}", "2000"},     {"{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", "\"1.2.3.6:3\""}};
     for (const auto& [mark, value] : values)
         for (auto at = text.find(mark); at != std::string::npos; at = text.find(mark))
             text.replace(at, mark.size(), value);
@@ -239,6 +350,7 @@
     BOOST_REQUIRE(settings);
     BOOST_TEST(settings->seeds.at(0) == "1.2.3.6:3");
     BOOST_TEST(settings->stop_limit.count() == 6000);
+    BOOST_TEST(settings->config_bound.count() == 2000);
 }
 
 BOOST_AUTO_TEST_CASE(faulty_settings_are_told_all_at_once)
