Jobs of a host that dies are placed anew once nothing of it can run

Ruled out: starting at once elsewhere (the dead host's runs go on until their lease ends: two runs at a time). Change: the caller's host keeps such a job and hands it to the host that has taken all workers of the silent pool and cleared them, or to any pool once every lease is over. A pool runs a remote caller's jobs only on workers that the caller's host knows it holds. A job that may have run is never refused as not run; that is remembered for 10 s after its answer too. Holds for runs that are to end renew no lease.

--- a/src/pool/entry.cpp
+++ b/src/pool/entry.cpp
@@ -4,8 +4,10 @@
 // pool that declines has started nothing, so the next one is asked, each at most once. The
 // trade-off against asking several at once: one more round trip on a decline, and no double work.
 //
-// A pool that falls silent leaves its jobs unknown: their tasks may have run. The caller is told so
-// at once and comes back; by then leases have ended what still ran.
+// A pool whose host falls silent may still run a job's tasks. The job is placed anew by the host that
+// has taken all of that pool's workers and found nothing running on them any more, or by any pool once
+// every lease is over. If that is too late for the caller it is told at once that the outcome is
+// unknown.
 
 #include "pool/entry.hpp"
 #include "core/wire.hpp"
@@ -28,16 +30,30 @@
     return sum;
 }
 
-// How long a job may wait before its first start and still end in time by its own estimate.
-microseconds spare_time(const job_request& job)
+// The longest task of a job by its own estimates.
+milliseconds longest_of(const job_request& job)
 {
     milliseconds longest{0};
     for (const auto& step : job.steps)
         longest = std::max(longest, step.estimate);
-    return std::chrono::duration_cast<microseconds>(longest * (job.terms.stretch - 1)) +
+    return longest;
+}
+
+// How long a job may wait before its first start and still end in time by its own estimate.
+microseconds spare_time(const job_request& job)
+{
+    return std::chrono::duration_cast<microseconds>(longest_of(job) * (job.terms.stretch - 1)) +
            job.terms.slack;
 }
 
+// Until when an answer is of use to the caller.
+microseconds latest_end(const job_request& job, microseconds arrived, double late_factor)
+{
+    const auto objective = spare_time(job) + longest_of(job);
+    return arrived + std::min(std::chrono::duration_cast<microseconds>(objective * late_factor),
+                              microseconds{job.terms.wait});
+}
+
 } // namespace
 
 std::optional<std::string> fault_of(const job_request& job)
@@ -163,8 +179,8 @@
 void entry::submit(instant now, std::uint64_t number, job_request job, action_list& out)
 {
     ++m_totals.calls;
-    const auto done = m_done.find(job.id);
-    if (done != m_done.end())
+    const auto past = m_past.find(job.id);
+    if (past != m_past.end() && past->second.complete)
     {
         out.push_back(actions::log_event{false, "event=repeat_answered job=" + job.id});
         out.push_back(actions::answer_call{number, {answer_kind::ok, {}, "answered before"}});
@@ -190,26 +206,67 @@
     call.cpu = cpu_of(job);
     call.job = std::move(job);
     call.arrived = now.steady;
+    call.may_have_run = past != m_past.end();
     m_by_job[call.job.id] = number;
     auto& kept = m_calls.emplace(number, std::move(call)).first->second;
     dispatch(now.steady, kept, out);
 }
 
+std::optional<std::string> entry::choose_for_orphan(microseconds now, open_call& call) const
+{
+    if (now >= call.over_at)
+        return choose(now, call);
+    if (call.former.empty())
+        return std::nullopt;
+    if (m_own.cleared(call.former) && !m_own_closed)
+        return std::string{};
+    for (const auto& [name, host] : m_peers.all())
+        if (m_peers.alive(name, now) && !host.leaving &&
+            std::includes(host.held.begin(), host.held.end(), call.former.begin(),
+                          call.former.end()))
+            return name;
+    return std::nullopt;
+}
+
+void entry::adopt_or_settle(microseconds now, std::uint64_t number, std::vector<std::string> former,
+                            microseconds over_at, call_answer answer, action_list& out)
+{
+    auto& call = m_calls.at(number);
+    if (now + longest_of(call.job) > latest_end(call.job, call.arrived, m_settings.late_factor))
+        return settle(now, number, std::move(answer), out);
+    out.push_back(actions::log_event{
+        true, "event=job_orphaned job=" + call.job.id + " pool=" + call.pool + " reason=\"" +
+                  answer.detail + "\" former_workers=" + std::to_string(former.size()) +
+                  " over_in_ms=" + std::to_string((over_at - now).count() / 1000)});
+    call.tried.clear();
+    call.parked = true;
+    call.orphan = true;
+    call.may_have_run = true;
+    call.former = std::move(former);
+    call.over_at = over_at;
+}
+
 void entry::dispatch(microseconds now, open_call& call, action_list& out)
 {
-    if (const auto pool = choose(now, call))
+    if (const auto pool = call.orphan ? choose_for_orphan(now, call) : choose(now, call))
     {
+        m_totals.placed_anew += call.orphan ? 1 : 0;
         call.parked = false;
         call.pool = *pool;
         return send(now, call, out);
     }
-    if (now - call.arrived < spare_time(call.job))
-    {
-        call.parked = true;
+    call.parked = true;
+    const auto limit =
+        call.orphan ? latest_end(call.job, call.arrived, m_settings.late_factor) -
+                          longest_of(call.job)
+                    : call.arrived + spare_time(call.job);
+    if (now < limit)
         return;
-    }
-    settle(now, call.call, {answer_kind::no_worker_fits, retry_when_nowhere, "no workers in reach"},
-           out);
+    if (call.orphan)
+        settle(now, call.call, {answer_kind::worker_lost, {}, "too late to place it anew"}, out);
+    else
+        settle(now, call.call,
+               {answer_kind::no_worker_fits, retry_when_nowhere, "no workers in reach"}, out);
 }
 
 void entry::retry_parked(microseconds now, action_list& out)
@@ -225,6 +282,7 @@
 void entry::send(microseconds now, open_call& call, action_list& out)
 {
     call.tried.insert(call.pool);
+    call.sent = now;
     const auto age = std::chrono::duration_cast<milliseconds>(now - call.arrived);
     if (call.pool.empty())
         return m_own.submit(now, call.job, {{}, 0, call.call}, age, out);
@@ -238,6 +296,9 @@
     to_wire(call.job, job);
     job.set_call(call.call);
     job.set_age_ms(static_cast<std::uint32_t>(age.count()));
+    if (call.orphan && now < call.over_at)
+        for (const auto& worker : call.former)
+            job.add_former_workers(worker);
     out.push_back(std::move(message));
 }
 
@@ -265,6 +326,15 @@
     if (found == m_calls.end())
         return;
     auto& call = found->second;
+    if (answer.kind == answer_kind::worker_lost)
+        return adopt_or_settle(now, number, {}, now + m_settings.lost_worker_over,
+                               std::move(answer), out);
+    if (declined && call.orphan)
+    {
+        call.tried.clear();
+        call.parked = true;
+        return;
+    }
     if (declined)
     {
         if (const auto next = choose(now, call))
@@ -287,6 +357,8 @@
 {
     const auto found = m_calls.find(number);
     const auto& call = found->second;
+    if (call.may_have_run && row_of(answer.kind).result == outcome::not_run)
+        answer = {answer_kind::worker_lost, {}, "placed anew in vain: " + answer.detail};
     switch (row_of(answer.kind).result)
     {
     case outcome::complete:
@@ -314,16 +386,19 @@
                  ? " retry_after_ms=" + std::to_string(answer.retry_after.count())
                  : "") +
             (answer.detail.empty() ? "" : " detail=\"" + answer.detail + "\"")});
-    if (answer.kind == answer_kind::ok)
-    {
-        m_done[call.job.id] = now;
-        m_done_order.emplace_back(now, call.job.id);
-    }
+    if (row_of(answer.kind).result != outcome::not_run)
+        remember(now, call.job.id, answer.kind == answer_kind::ok);
     out.push_back(actions::answer_call{number, std::move(answer)});
     m_by_job.erase(call.job.id);
     m_calls.erase(found);
 }
 
+void entry::remember(microseconds now, const std::string& job, bool complete)
+{
+    m_past[job] = {now, complete};
+    m_past_order.emplace_back(now, job);
+}
+
 void entry::tell_pool(microseconds now, const open_call& call, action_list& out)
 {
     if (call.parked)
@@ -345,6 +420,7 @@
     const auto call = std::move(found->second);
     m_calls.erase(found);
     m_by_job.erase(call.job.id);
+    remember(now, call.job.id, false);
     out.push_back(actions::log_event{
         true, "event=caller_gone job=" + call.job.id +
                   " age_ms=" + std::to_string((now - call.arrived).count() / 1000)});
@@ -371,7 +447,7 @@
     retry_parked(now, out);
     for (const auto& [number, call] : m_calls)
     {
-        if (!call.pool.empty())
+        if (!call.pool.empty() && !call.parked)
         {
             const auto* host = m_peers.find(call.pool);
             if (host == nullptr || host->ref != call.pool_ref || !m_peers.alive(call.pool, now))
@@ -384,17 +460,27 @@
             overdue.push_back(number);
     }
     for (const auto number : unknown)
-        settle(now, number, {answer_kind::worker_lost, {}, "the pool's host is silent"}, out);
+    {
+        const auto past = m_peers.last_seen(m_calls.at(number).pool_ref);
+        const auto heard = past ? past->heard : now;
+        adopt_or_settle(now, number,
+                        past ? std::vector<std::string>(past->held.begin(), past->held.end())
+                             : std::vector<std::string>{},
+                        heard + m_settings.silent_pool_over,
+                        {answer_kind::worker_lost, {}, "the pool's host is silent"}, out);
+    }
     for (const auto number : overdue)
     {
         tell_pool(now, m_calls.at(number), out);
         settle(now, number, {answer_kind::deadline_passed, {}, "no answer of the pool"}, out);
     }
-    while (!m_done_order.empty() && (now - m_done_order.front().first > m_settings.remember ||
-                                     m_done_order.size() > m_settings.most_remembered))
+    while (!m_past_order.empty() && (now - m_past_order.front().first > m_settings.remember ||
+                                     m_past_order.size() > m_settings.most_remembered))
     {
-        m_done.erase(m_done_order.front().second);
-        m_done_order.pop_front();
+        const auto known = m_past.find(m_past_order.front().second);
+        if (known != m_past.end() && known->second.when == m_past_order.front().first)
+            m_past.erase(known);
+        m_past_order.pop_front();
     }
 }
 
--- a/src/pool/entry.hpp
+++ b/src/pool/entry.hpp
@@ -17,6 +17,13 @@
     milliseconds away_penalty{15};
     // The typical time until a busy worker has room again; scales the shortage of room.
     milliseconds turnover{120};
+    // After this time nothing runs for a pool's host that is silent: it gives up callers' jobs after
+    // 700 ms without an echo, and what it cannot stop then ends with its lease 714 ms later.
+    milliseconds silent_pool_over{1450};
+    // The same for a job whose pool said that it lost a worker: stops and leases.
+    milliseconds lost_worker_over{800};
+    // Nobody waits longer than this many times a job's objective.
+    double late_factor = 3;
     // Answers are kept this long for a resubmission that crossed its answer.
     milliseconds remember{10000};
     std::size_t most_remembered = 4000;
@@ -56,6 +63,7 @@
         std::uint64_t unknown = 0;
         std::uint64_t gone = 0; // the caller left first
         std::uint64_t away = 0; // sent to another data centre
+        std::uint64_t placed_anew = 0; // after their pool's host had gone
     };
     const totals& counts() const { return m_totals; }
 
@@ -65,11 +73,18 @@
         std::uint64_t call = 0;
         job_request job;
         microseconds arrived{0};
+        microseconds sent{0}; // to its present pool
         std::string pool; // empty: this host's own
         host_ref pool_ref;
         std::set<std::string> tried;
         std::int64_t cpu = 0;
         bool parked = false; // no pool is in reach yet
+        // The pool's host has gone while it had the job: what it held, and when its runs are surely
+        // over.
+        bool orphan = false;
+        bool may_have_run = false; // in an earlier pool, or for an earlier call: no "not run" then
+        std::vector<std::string> former;
+        microseconds over_at{0};
     };
 
     // The pool to ask next, as a host's name ("" for the own one); nullopt if none is left.
@@ -79,6 +94,11 @@
     // Sends a call to a pool, or parks it while it could still end in time.
     void dispatch(microseconds now, open_call& call, action_list& out);
     void retry_parked(microseconds now, action_list& out);
+    // The pool that has cleared an orphan's former workers, or any once their leases are over.
+    std::optional<std::string> choose_for_orphan(microseconds now, open_call& call) const;
+    // Keeps a job whose pool has gone, to place it anew; tells the caller if that would be too late.
+    void adopt_or_settle(microseconds now, std::uint64_t call, std::vector<std::string> former,
+                         microseconds over_at, call_answer answer, action_list& out);
     void settle(microseconds now, std::uint64_t call, call_answer answer, action_list& out);
     void decide(microseconds now, std::uint64_t call, call_answer answer, bool declined,
                 action_list& out);
@@ -92,8 +112,15 @@
     std::map<std::string, std::uint64_t> m_by_job;
     // Room promised away since a peer's last load report.
     mutable std::map<std::string, std::pair<microseconds, std::int64_t>> m_promised;
-    std::map<std::string, microseconds> m_done;
-    std::deque<std::pair<microseconds, std::string>> m_done_order;
+    // Answered jobs: complete ones, and those of which something may have run.
+    struct past_answer
+    {
+        microseconds when{0};
+        bool complete = false;
+    };
+    void remember(microseconds now, const std::string& job, bool complete);
+    std::map<std::string, past_answer> m_past;
+    std::deque<std::pair<microseconds, std::string>> m_past_order;
     bool m_own_closed = false;
     totals m_totals;
 };
--- a/src/pool/held_worker.cpp
+++ b/src/pool/held_worker.cpp
@@ -144,8 +144,12 @@
     const auto request = next_request++;
     m_orders[request] = {order_kind::hold, {}, m_fence, now};
     ++m_open_holds;
-    // A hold into silence extends no lease, or the runs there could never be counted as over.
-    const bool renews = !m_runs.empty() && m_silent_since.count() == 0;
+    // A hold into silence extends no lease, or the runs there could never be counted as over; nor
+    // does one for runs that are to end.
+    const bool renews = m_silent_since.count() == 0 &&
+                        std::any_of(m_runs.begin(), m_runs.end(), [](const auto& entry) {
+                            return !entry.second.foreign && !entry.second.view.stopping;
+                        });
     out.push_back(actions::hold_worker{request, m_entry.id, m_entry.address, m_fence,
                                        renews ? next_lease(now) : 0, m_ends_seen, wait,
                                        wait + std::max(hold_slack, m_settings.order_timeout)});
--- a/src/pool/members.cpp
+++ b/src/pool/members.cpp
@@ -59,6 +59,8 @@
     if (m_sent.size() > kept_rounds)
         m_sent.pop_front();
     const auto about = announce();
+    std::erase_if(m_past, [&](const auto& item)
+                  { return now - item.second.heard > m_settings.forget_after; });
     for (auto entry = m_peers.begin(); entry != m_peers.end();)
     {
         const auto here = entry++;
@@ -140,6 +142,8 @@
     if (from.incarnation > host.ref.incarnation)
     {
         const auto address = host.address;
+        if (!host.ref.empty())
+            m_past[host.ref] = {host.held, host.heard};
         host = peer{};
         host.ref = from;
         host.address = address;
@@ -216,6 +220,17 @@
     return m_settled_at.count() >= 0 && now - m_settled_at >= m_settings.announce_settled;
 }
 
+std::optional<members::past_life> members::last_seen(const host_ref& ref) const
+{
+    const auto* host = find(ref.name);
+    if (host != nullptr && host->ref == ref)
+        return past_life{host->held, host->heard};
+    const auto past = m_past.find(ref);
+    if (past == m_past.end())
+        return std::nullopt;
+    return past->second;
+}
+
 bool members::cut_off(microseconds now) const
 {
     std::size_t lately = 0;
--- a/src/pool/members.hpp
+++ b/src/pool/members.hpp
@@ -104,6 +104,15 @@
     bool settled(microseconds now) const;
     // True once the peers know that it is settled, and it would know if one of them was.
     bool may_take(microseconds now) const;
+    // What a host held in one of its lives, and when it was last heard; null if not known any more.
+    struct past_life
+    {
+        std::set<std::string> held;
+        microseconds heard{0};
+    };
+    std::optional<past_life> last_seen(const host_ref& host) const;
+    // Sends the next heartbeats now: what is held has changed.
+    void hurry() { m_next_round = microseconds{0}; }
     // True if this host hears less than half of those that it heard lately.
     bool cut_off(microseconds now) const;
     // False once the host may have given up on this one.
@@ -120,6 +129,7 @@
 
     members_settings m_settings;
     std::map<std::string, peer> m_peers;
+    std::map<host_ref, past_life> m_past; // of hosts that began anew
     std::set<std::string> m_dead_logged;
     std::deque<std::pair<std::uint64_t, microseconds>> m_sent;
     std::uint64_t m_sequence = 0;
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -22,6 +22,12 @@
           }(),
           m_members, m_pool)
 {
+    m_pool.set_visibility(
+        [this](const caller_ref& caller)
+        {
+            const auto* host = m_members.find(caller.host);
+            return host == nullptr ? 0 : host->echoed_held;
+        });
 }
 
 void pool_host::stamp(action_list& out) const
@@ -197,6 +203,8 @@
             m_pool.take(now, m_registry.at(id), out);
     for (const auto& id : plan.yield)
         m_pool.release(id);
+    if (std::exchange(m_announced, m_pool.held_version()) != m_pool.held_version())
+        m_members.hurry();
 }
 
 // True if workers of the service are listed and none of them is large enough for some step.
@@ -286,7 +294,10 @@
 {
     auto job = from_wire(message);
     const caller_ref caller{from.name, from.incarnation, message.call()};
-    if (job && !m_leaving && m_members.hears_us(from, now.steady))
+    const std::vector<std::string> former(message.former_workers().begin(),
+                                          message.former_workers().end());
+    const bool cleared = m_pool.cleared(former);
+    if (job && !m_leaving && cleared && m_members.hears_us(from, now.steady))
         return m_pool.submit(now.steady, std::move(*job), caller, milliseconds{message.age_ms()},
                              out);
     actions::send_peer reply{from.name, {}};
@@ -297,7 +308,10 @@
         static_cast<std::uint32_t>(job ? answer_kind::over_capacity : answer_kind::bad_request));
     result.set_declined(job.has_value());
     result.set_retry_after_ms(1000);
-    result.set_detail(!job ? job.error().message : m_leaving ? "leaving" : "heartbeats not heard");
+    result.set_detail(!job        ? job.error().message
+                      : m_leaving ? "leaving"
+                      : !cleared  ? "former workers not cleared"
+                                  : "heartbeats not heard");
     out.push_back(std::move(reply));
 }
 
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -101,6 +101,7 @@
     worker_pool m_pool;
     entry m_entry;
     microseconds m_next_steward{0};
+    std::uint64_t m_announced = 0; // the held_version at the last round of the steward
     bool m_leaving = false;
 };
 
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -63,7 +63,7 @@
     auto& record = m_workers.emplace(entry.id, worker_record{{m_settings.workers, entry, fence}})
                        .first->second;
     record.leaving = entry.leaving;
-    ++m_held_version;
+    record.since_version = ++m_held_version;
     worker_events events;
     record.worker.tick(now.steady, m_next_request, out, events);
 }
@@ -115,6 +115,17 @@
     ++m_held_version;
 }
 
+bool worker_pool::cleared(const std::vector<std::string>& workers) const
+{
+    return std::all_of(workers.begin(), workers.end(),
+                       [&](const std::string& id)
+                       {
+                           const auto* worker = find(id);
+                           return worker != nullptr && worker->taken() &&
+                                  !worker->has_foreign_runs();
+                       });
+}
+
 const held_worker* worker_pool::find(const std::string& worker) const
 {
     const auto record = m_workers.find(worker);
@@ -320,7 +331,7 @@
 }
 
 worker_pool::worker_record* worker_pool::choose(const open_job& job, const task_state& task,
-                                                microseconds now)
+                                                std::uint64_t visible, microseconds now)
 {
     const auto& step = job.request.steps[task.step];
     const auto time = static_cast<double>(expected(job.request, step).count());
@@ -342,7 +353,8 @@
     for (auto& [id, record] : m_workers)
     {
         const auto& about = record.worker.entry();
-        if (!accepts(record, now) || about.service != job.request.terms.service)
+        if (!accepts(record, now) || about.service != job.request.terms.service ||
+            record.since_version > visible)
             continue;
         const auto free = record.worker.free();
         if (!step.need.fits(free))
@@ -393,11 +405,13 @@
 // Returns false if a task found no room.
 bool worker_pool::place_tasks(microseconds now, open_job& job, action_list& out)
 {
+    const auto visible =
+        job.caller.host.empty() || !m_visible ? m_held_version : m_visible(job.caller);
     for (auto& task : job.tasks)
     {
         if (task.stage != task_stage::waiting || !eligible(job, task))
             continue;
-        auto* record = choose(job, task, now);
+        auto* record = choose(job, task, visible, now);
         if (record == nullptr)
             return false;
         const run_ref run{{job.request.id, 0, task.step, task.index}, task.next_run++};
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -6,6 +6,7 @@
 
 #include "core/run_times.hpp"
 #include "pool/held_worker.hpp"
+#include <functional>
 #include <set>
 
 namespace egretledge::pool
@@ -65,6 +66,14 @@
     // Lets an idle worker go, so that another host may take it; false if it is not idle.
     bool release(const std::string& worker);
     bool holds(const std::string& worker) const { return m_workers.contains(worker); }
+    // True if all these workers are held here and nothing of a former holder runs on them.
+    bool cleared(const std::vector<std::string>& workers) const;
+    // Tells which of this pool's workers a caller's host knows of, as a held_version: only those run
+    // its jobs, so that it knows where to look if this host dies.
+    void set_visibility(std::function<std::uint64_t(const caller_ref&)> visible)
+    {
+        m_visible = std::move(visible);
+    }
     // The worker if it is held here.
     const held_worker* find(const std::string& worker) const;
     std::vector<std::string> held() const;
@@ -145,6 +154,7 @@
     struct worker_record
     {
         held_worker worker;
+        std::uint64_t since_version = 0; // the held_version that first named it
         bool leaving = false;
         bool vanished = false;
         double slowness = 1; // actual over expected time, learned
@@ -156,7 +166,8 @@
 
     milliseconds expected(const job_request& job, const job_step& step) const;
     bool accepts(const worker_record& record, microseconds now) const;
-    worker_record* choose(const open_job& job, const task_state& task, microseconds now);
+    worker_record* choose(const open_job& job, const task_state& task, std::uint64_t visible,
+                          microseconds now);
     bool fits_somewhere(const job_request& job) const;
     // The time until the waiting tasks for which `counts` holds have been placed.
     milliseconds wait_behind(microseconds now,
@@ -196,6 +207,7 @@
         microseconds since{-1}; // of the first answer without a gap after it
         microseconds answered{-1};
     };
+    std::function<std::uint64_t(const caller_ref&)> m_visible;
     std::map<std::string, reach> m_probes;
     std::vector<std::string> m_losses;
     std::map<std::string, open_job> m_jobs;
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -575,3 +575,21 @@
     BOOST_TEST(soon * 100 >= world.calls().size() * 90);
     BOOST_TEST(world.violations().empty());
 }
+
+BOOST_AUTO_TEST_CASE(jobs_of_a_host_that_dies_are_placed_anew_and_never_run_twice_at_once)
+{
+    pool_world world({});
+    world.run_until(at_ms(2500));
+    std::uint32_t holder = 0;
+    while (held_by(world, holder) == 0)
+        ++holder;
+    const std::uint32_t caller = holder % 2 == 0 ? holder + 1 : holder - 1;
+    for (int i = 0; i < 5; ++i)
+        world.submit(caller, "job" + std::to_string(i), 2, a_task, 900ms);
+    world.at(at_ms(2700), [&] { world.kill_host(holder); });
+    world.run_until(at_ms(7000));
+    BOOST_TEST(count_of(world, answer_kind::ok) == 5U);
+    for (const auto& call : world.calls())
+        BOOST_TEST((call.answered - call.sent).count() < at_ms(2200).count());
+    BOOST_TEST(world.violations().empty());
+}
