--- a/src/io/peer_bus.cpp
+++ b/src/io/peer_bus.cpp
@@ -21,7 +21,7 @@
 constexpr int high_water_mark = 20000;
 constexpr std::chrono::milliseconds poll_time{100};
 constexpr int reconnect_first_ms = 50;
-constexpr int reconnect_longest_ms = 250; // half of the silence after which a host counts as dead
+constexpr int reconnect_longest_ms = 100; // a restarted host is heard again within one heartbeat
 // A connection that went silent is replaced after this time.
 constexpr int heartbeat_every_ms = 300;
 constexpr int heartbeat_timeout_ms = 900;
--- a/src/pool/entry.cpp
+++ b/src/pool/entry.cpp
@@ -246,6 +246,16 @@
     call.over_at = over_at;
 }
 
+microseconds entry::wait_limit(microseconds now, const open_call& call) const
+{
+    const auto settled = m_peers.settled_at();
+    const bool soon =
+        call.orphan || settled.count() < 0 || now - settled < m_settings.first_takeover;
+    if (!soon)
+        return call.arrived + spare_time(call.job);
+    return latest_end(call.job, call.arrived, m_settings.late_factor) - longest_of(call.job);
+}
+
 void entry::dispatch(microseconds now, open_call& call, action_list& out)
 {
     if (const auto pool = call.orphan ? choose_for_orphan(now, call) : choose(now, call))
@@ -256,11 +266,7 @@
         return send(now, call, out);
     }
     call.parked = true;
-    const auto limit =
-        call.orphan ? latest_end(call.job, call.arrived, m_settings.late_factor) -
-                          longest_of(call.job)
-                    : call.arrived + spare_time(call.job);
-    if (now < limit)
+    if (now < wait_limit(now, call))
         return;
     if (call.orphan)
         settle(now, call.call, {answer_kind::worker_lost, {}, "too late to place it anew"}, out);
@@ -343,7 +349,7 @@
             return send(now, call, out);
         }
         // No pool can take it yet, which may change within its time: workers are being taken over.
-        if (answer.kind == answer_kind::no_worker_fits && now - call.arrived < spare_time(call.job))
+        if (answer.kind == answer_kind::no_worker_fits && now < wait_limit(now, call))
         {
             call.tried.clear();
             call.parked = true;
--- a/src/pool/entry.hpp
+++ b/src/pool/entry.hpp
@@ -24,6 +24,9 @@
     milliseconds lost_worker_over{800};
     // Nobody waits longer than this many times a job's objective.
     double late_factor = 3;
+    // After this host has found out who holds what, workers that nobody holds are taken within this
+    // time; until then a call without a pool waits as long as an answer is of use.
+    milliseconds first_takeover{1000};
     // Answers are kept this long for a resubmission that crossed its answer.
     milliseconds remember{10000};
     std::size_t most_remembered = 4000;
@@ -93,6 +96,8 @@
     void send(microseconds now, open_call& call, action_list& out);
     // Sends a call to a pool, or parks it while it could still end in time.
     void dispatch(microseconds now, open_call& call, action_list& out);
+    // Until when a call without a pool is kept.
+    microseconds wait_limit(microseconds now, const open_call& call) const;
     void retry_parked(microseconds now, action_list& out);
     // The pool that has cleared an orphan's former workers, or any once their leases are over.
     std::optional<std::string> choose_for_orphan(microseconds now, open_call& call) const;
--- a/src/pool/members.cpp
+++ b/src/pool/members.cpp
@@ -50,7 +50,10 @@
     if (!settled(now))
         m_settled_at = microseconds{-1};
     else if (m_settled_at.count() < 0)
+    {
         m_settled_at = now;
+        hurry();
+    }
     if (now < m_next_round)
         return;
     m_next_round = now + m_settings.beat_every;
@@ -156,6 +159,7 @@
     if (!alive(from.name, now) || host.heard.count() < 0)
     {
         host.alive_since = now;
+        hurry(); // until it has an echo, it takes no work for this host's callers
         m_dead_logged.erase(from.name);
         out.push_back(actions::log_event{
             false, "event=peer_alive peer=" + from.name + " incarnation=" +
--- a/src/pool/members.hpp
+++ b/src/pool/members.hpp
@@ -37,8 +37,9 @@
     // `settle` for the others. A connection takes up to a second if its first packet is lost.
     milliseconds settle{1500};
     milliseconds least_settle{150};
-    // A settled host takes workers only after its peers have heard that it is: two heartbeats.
-    milliseconds announce_settled{250};
+    // A settled host says so at once, and takes workers only after its peers have heard it: a round
+    // trip and a busy host.
+    milliseconds announce_settled{80};
     // A silent peer that the platform does not list is forgotten.
     milliseconds forget_after{30000};
 };
@@ -102,6 +103,8 @@
     // True once this host knows who holds what: since it began, or since it last came back from a
     // pause.
     bool settled(microseconds now) const;
+    // When it last became settled; negative while it is not.
+    microseconds settled_at() const { return m_settled_at; }
     // True once the peers know that it is settled, and it would know if one of them was.
     bool may_take(microseconds now) const;
     // What a host held in one of its lives, and when it was last heard; null if not known any more.
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -305,7 +305,7 @@
     result.set_call(message.call());
     result.set_id(message.id());
     result.set_kind(
-        static_cast<std::uint32_t>(job ? answer_kind::over_capacity : answer_kind::bad_request));
+        static_cast<std::uint32_t>(job ? answer_kind::no_worker_fits : answer_kind::bad_request));
     result.set_declined(job.has_value());
     result.set_retry_after_ms(1000);
     result.set_detail(!job        ? job.error().message
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -24,7 +24,7 @@
     worker_pool_settings workers;
     entry_settings entry; // data_centre is filled in
     steward_settings steward;
-    milliseconds steward_every{100};
+    milliseconds steward_every{40};
     // A worker of another data centre is taken only after it could be reached for this long while
     // no host announced it: when a cut heals, its holder's heartbeats come within that time.
     milliseconds away_patience{1200};
