Logs are bounded and never block; a worker's silence is told

Change: a token bucket of 200 lines a second (setting), standard output without blocking, one line a second that counts what was dropped, events worker_silent and worker_answers.

--- a/src/io/logging.cpp
+++ b/src/io/logging.cpp
@@ -2,6 +2,9 @@
 
 #include "io/logging.hpp"
 #include <easylogging++.h>
+#include <fcntl.h>
+#include <iostream>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -27,6 +30,18 @@
     el::Loggers::reconfigureLogger("default", configuration);
 }
 
+void never_block_on_logs()
+{
+    ::fcntl(STDOUT_FILENO, F_SETFL, ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+}
+
+bool log_line_written()
+{
+    const bool written = std::cout.good();
+    std::cout.clear();
+    return written;
+}
+
 void log_line(const std::string& level, const std::string& text)
 {
     if (level == "debug")
--- a/src/io/logging.hpp
+++ b/src/io/logging.hpp
@@ -8,9 +8,15 @@
 namespace egretledge
 {
 
-// Begins logging to standard error; lines below `level` are dropped. Call once, before threads.
+// Begins logging to standard output; lines below `level` are dropped. Call once, before threads.
 void start_logging(const std::string& level);
 
+// From now on a line that standard output does not take at once is dropped, whole or its rest.
+void never_block_on_logs();
+
+// Whether the last line was written whole. False once for each line that was not.
+bool log_line_written();
+
 // Writes one event; `text` begins with event=NAME. Levels: debug, info, warning, error.
 void log_line(const std::string& level, const std::string& text);
 
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -442,6 +442,7 @@
     for (auto& [id, record] : m_workers)
     {
         record.slowness = 1 + (record.slowness - 1) * slowness_decay;
+        tell_silence(now, id, record, out);
         const bool silent = record.worker.silent_since().count() != 0;
         if (record.worker.idle() && (record.leaving || (record.vanished && silent)))
             gone.push_back(id);
@@ -453,6 +454,21 @@
     place(now, out);
 }
 
+void worker_pool::tell_silence(microseconds now, const std::string& worker, worker_record& record,
+                               action_list& out) const
+{
+    const auto since = record.worker.silent_since();
+    const bool silent = since.count() != 0 && now - since >= m_settings.tell_silence_after;
+    if (silent == record.silence_told || (!silent && since.count() != 0))
+        return;
+    record.silence_told = silent;
+    out.push_back(actions::log_event{
+        silent, silent ? "event=worker_silent worker=" + worker + " silent_ms=" +
+                             std::to_string(ms(now - since)) +
+                             " runs=" + std::to_string(record.worker.runs().size())
+                       : "event=worker_answers worker=" + worker});
+}
+
 bool worker_pool::on_worker(microseconds now, std::uint64_t request, const worker_reply& reply,
                             action_list& out)
 {
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -25,6 +25,8 @@
     std::uint32_t most_failures = 2;
     milliseconds first_quarantine{500};
     milliseconds longest_quarantine{8000};
+    // A worker's silence is logged after this time.
+    milliseconds tell_silence_after{500};
     // A worker that answered that it is unhealthy gets no start for this long.
     milliseconds unhealthy_pause{300};
     // After an order without an answer, holds are renewed more often for this long.
@@ -162,8 +164,11 @@
         microseconds quarantined_until{0};
         milliseconds quarantine{0};
         bool probation = false;
+        bool silence_told = false;
     };
 
+    void tell_silence(microseconds now, const std::string& worker, worker_record& record,
+                      action_list& out) const;
     milliseconds expected(const job_request& job, const job_step& step) const;
     bool accepts(const worker_record& record, microseconds now) const;
     worker_record* choose(const open_job& job, const task_state& task, std::uint64_t visible,
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE platform
 #include "io/edge_settings.hpp"
 #include "io/http_server.hpp"
+#include "io/log_budget.hpp"
 #include "platform/store_client.hpp"
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
@@ -362,3 +363,16 @@
     BOOST_TEST(!parse_edge_settings(": :").has_value());
     BOOST_TEST(!parse_edge_settings("[]").has_value());
 }
+
+BOOST_AUTO_TEST_CASE(a_flood_of_log_lines_is_bounded_and_counted)
+{
+    log_budget budget(200);
+    int written = 0;
+    for (int ms = 0; ms < 3000; ++ms)
+        for (int line = 0; line < 5; ++line)
+            written += budget.take(microseconds{1000000 + ms * 1000}) ? 1 : 0;
+    BOOST_TEST(written >= 3 * 200);
+    BOOST_TEST(written <= 4 * 200);
+    BOOST_TEST(budget.take_dropped() == 15000U - static_cast<unsigned>(written));
+    BOOST_TEST(budget.take_dropped() == 0U);
+}
