A worker whose lifetime is over is left alone until its entry tells of a new one

Ruled out: fights between hosts. Change: such a worker counts as lost for 5 s or until its start time changes. A test: 1 hold, 25 a second before.

--- a/harness/pool_schedule.cpp
+++ b/harness/pool_schedule.cpp
@@ -45,7 +45,10 @@
     }
     bool chance(double share) { return std::bernoulli_distribution(share)(m_random); }
     microseconds moment() { return settle_time + microseconds{whole(0, load_time.count())}; }
-    std::uint32_t a_host() { return static_cast<std::uint32_t>(whole(0, m_world.host_count() - 1)); }
+    std::uint32_t a_host()
+    {
+        return static_cast<std::uint32_t>(whole(0, m_world.host_count() - 1));
+    }
     std::uint32_t a_worker()
     {
         return static_cast<std::uint32_t>(whole(0, m_world.worker_count() - 1));
@@ -82,7 +85,8 @@
             m_world.kill_host(host);
             return after(time, [this, host] { m_world.start_host(host); });
         }
-        case 2: return m_world.freeze_host(a_host(), time);
+        case 2:
+            return m_world.freeze_host(a_host(), time);
         case 3:
         {
             const auto host = a_host();
@@ -155,7 +159,8 @@
     result.violations = world.violations();
     result.calls = world.calls().size();
     for (const auto& call : world.calls())
-        result.complete += call.answered.count() >= 0 && call.answer.kind == answer_kind::ok ? 1 : 0;
+        result.complete +=
+            call.answered.count() >= 0 && call.answer.kind == answer_kind::ok ? 1 : 0;
     result.starts = world.starts();
     return result;
 }
--- a/harness/pool_schedule.hpp
+++ b/harness/pool_schedule.hpp
@@ -16,8 +16,8 @@
     std::size_t starts = 0;
 };
 
-// Runs one schedule: 10 s of load with kills, freezes, planned stops, cuts, crashed, slow and failing
-// workers and late orders, then a quiet end.
+// Runs one schedule: 10 s of load with kills, freezes, planned stops, cuts, crashed, slow and
+// failing workers and late orders, then a quiet end.
 pool_schedule_result run_pool_schedule(std::uint64_t seed, bool trace);
 
 } // namespace egretledge::harness
--- a/harness/pool_world.cpp
+++ b/harness/pool_world.cpp
@@ -11,7 +11,8 @@
 
 constexpr microseconds tick_time{20000};
 constexpr microseconds come_back_after{1300000};
-constexpr microseconds late_least{2000000}; // an order without an answer is carried out 2 to 12 s later
+constexpr microseconds late_least{
+    2000000}; // an order without an answer is carried out 2 to 12 s later
 constexpr microseconds late_most{12000000};
 constexpr std::int64_t epoch_ms = 1800000000000; // any Unix time
 const char* const service = "desk";
@@ -48,15 +49,14 @@
                 [this](const task_name& task)
                 {
                     const auto& job = m_jobs.at(task.job);
-                    return standin::task_behaviour{job.task_time,
-                                                   m_failing_jobs.contains(task.job),
+                    return standin::task_behaviour{job.task_time, m_failing_jobs.contains(task.job),
                                                    job.request.steps[task.step].need};
                 },
                 standin::pool_worker_model::observer{
                     [this](microseconds, const std::string& worker, const run_ref& run)
                     { on_started(worker, run); },
-                    [this](microseconds, const std::string& worker, const run_ref& run,
-                           run_end end) { on_ended(worker, run, end); }}));
+                    [this](microseconds, const std::string& worker, const run_ref& run, run_end end)
+                    { on_ended(worker, run, end); }}));
         }
         for (std::uint32_t i = 0; i < m_settings.hosts_per_centre; ++i)
         {
@@ -167,7 +167,8 @@
 
 void pool_world::stop_host(std::uint32_t index)
 {
-    decide(index, [](pool_host& host, instant now, action_list& out) { host.begin_stop(now, out); });
+    decide(index,
+           [](pool_host& host, instant now, action_list& out) { host.begin_stop(now, out); });
 }
 
 const pool_host* pool_world::host(std::uint32_t index) const
@@ -250,7 +251,8 @@
         {
             for (std::uint32_t to = 0; to < host_count(); ++to)
             {
-                if (m_hosts[to]->name != message->host || m_cut_hosts.contains(std::minmax(index, to)))
+                if (m_hosts[to]->name != message->host ||
+                    m_cut_hosts.contains(std::minmax(index, to)))
                     continue;
                 const auto life = m_hosts[to]->life;
                 at(m_now + delay(),
@@ -282,10 +284,9 @@
     while (m_workers[target]->entry().id != order.worker)
         ++target;
     const bool late = std::bernoulli_distribution(m_late_share)(m_random);
-    const auto when =
-        m_now + (late ? microseconds{std::uniform_int_distribution<std::int64_t>(
-                            late_least.count(), late_most.count())(m_random)}
-                      : delay());
+    const auto when = m_now + (late ? microseconds{std::uniform_int_distribution<std::int64_t>(
+                                          late_least.count(), late_most.count())(m_random)}
+                                    : delay());
     // Whatever happens, the host hears of its order within the time-out.
     at(m_now + order.timeout,
        [this, index, life, request = order.request]
@@ -296,7 +297,8 @@
        });
     if (m_cut_workers.contains({index, target}))
         return;
-    at(when, [this, index, life, target, order, late] { deliver(index, life, target, order, !late); });
+    at(when,
+       [this, index, life, target, order, late] { deliver(index, life, target, order, !late); });
 }
 
 template <class Order>
@@ -474,14 +476,14 @@
 {
     for (const auto& [id, job] : m_jobs)
     {
-        const bool all_refused = std::all_of(
-            job.calls.begin(), job.calls.end(),
-            [&](std::size_t call)
-            {
-                const auto& record = m_calls[call];
-                return record.answered.count() >= 0 &&
-                       row_of(record.answer.kind).result == outcome::not_run;
-            });
+        const bool all_refused =
+            std::all_of(job.calls.begin(), job.calls.end(),
+                        [&](std::size_t call)
+                        {
+                            const auto& record = m_calls[call];
+                            return record.answered.count() >= 0 &&
+                                   row_of(record.answer.kind).result == outcome::not_run;
+                        });
         if (all_refused && job.starts > 0)
             violated("refused as not run, but it started: " + id);
     }
--- a/src/io/peer_bus.hpp
+++ b/src/io/peer_bus.hpp
@@ -39,7 +39,8 @@
 
     // tcp://IP:PORT as bound.
     const std::string& endpoint() const { return m_endpoint; }
-    // Tells where a host listens; an empty address forgets the host. Any thread may call this and send().
+    // Tells where a host listens; an empty address forgets the host. Any thread may call this and
+    // send().
     void set_address(const std::string& host, const std::string& address);
     void send(const std::string& host, const wire::PeerMessage& message);
 
--- a/src/pool/entry.cpp
+++ b/src/pool/entry.cpp
@@ -4,10 +4,10 @@
 // pool that declines has started nothing, so the next one is asked, each at most once. The
 // trade-off against asking several at once: one more round trip on a decline, and no double work.
 //
-// A pool whose host falls silent may still run a job's tasks. The job is placed anew by the host that
-// has taken all of that pool's workers and found nothing running on them any more, or by any pool once
-// every lease is over. If that is too late for the caller it is told at once that the outcome is
-// unknown.
+// A pool whose host falls silent may still run a job's tasks. The job is placed anew by the host
+// that has taken all of that pool's workers and found nothing running on them any more, or by any
+// pool once every lease is over. If that is too late for the caller it is told at once that the
+// outcome is unknown.
 
 #include "pool/entry.hpp"
 #include "core/wire.hpp"
--- a/src/pool/entry.hpp
+++ b/src/pool/entry.hpp
@@ -17,8 +17,8 @@
     milliseconds away_penalty{15};
     // The typical time until a busy worker has room again; scales the shortage of room.
     milliseconds turnover{120};
-    // After this time nothing runs for a pool's host that is silent: it gives up callers' jobs after
-    // 700 ms without an echo, and what it cannot stop then ends with its lease 714 ms later.
+    // After this time nothing runs for a pool's host that is silent: it gives up callers' jobs
+    // after 700 ms without an echo, and what it cannot stop then ends with its lease 714 ms later.
     milliseconds silent_pool_over{1450};
     // The same for a job whose pool said that it lost a worker: stops and leases.
     milliseconds lost_worker_over{800};
@@ -64,8 +64,8 @@
         std::uint64_t failed = 0;
         std::uint64_t refused = 0;
         std::uint64_t unknown = 0;
-        std::uint64_t gone = 0; // the caller left first
-        std::uint64_t away = 0; // sent to another data centre
+        std::uint64_t gone = 0;        // the caller left first
+        std::uint64_t away = 0;        // sent to another data centre
         std::uint64_t placed_anew = 0; // after their pool's host had gone
     };
     const totals& counts() const { return m_totals; }
@@ -77,7 +77,7 @@
         job_request job;
         microseconds arrived{0};
         microseconds sent{0}; // to its present pool
-        std::string pool; // empty: this host's own
+        std::string pool;     // empty: this host's own
         host_ref pool_ref;
         std::set<std::string> tried;
         std::int64_t cpu = 0;
@@ -101,7 +101,8 @@
     void retry_parked(microseconds now, action_list& out);
     // The pool that has cleared an orphan's former workers, or any once their leases are over.
     std::optional<std::string> choose_for_orphan(microseconds now, open_call& call) const;
-    // Keeps a job whose pool has gone, to place it anew; tells the caller if that would be too late.
+    // Keeps a job whose pool has gone, to place it anew; tells the caller if that would be too
+    // late.
     void adopt_or_settle(microseconds now, std::uint64_t call, std::vector<std::string> former,
                          microseconds over_at, call_answer answer, action_list& out);
     void settle(microseconds now, std::uint64_t call, call_answer answer, action_list& out);
--- a/src/pool/held_worker.cpp
+++ b/src/pool/held_worker.cpp
@@ -29,7 +29,7 @@
 
 constexpr std::uint64_t first_fence_step = 1ULL << 12;   // one millisecond of the token's time part
 constexpr std::uint64_t longest_fence_step = 1ULL << 26; // 16 s: more than clocks may differ
-constexpr std::uint32_t most_open_holds = 3; // two of them may have been lost
+constexpr std::uint32_t most_open_holds = 3;             // two of them may have been lost
 // On top of a hold's own wait: the time after which it counts as lost, and another one is sent.
 constexpr milliseconds hold_slack{60};
 constexpr milliseconds stop_repeat{100}; // a stop takes at most 50 ms; then it may have been lost
@@ -147,9 +147,10 @@
     // A hold into silence extends no lease, or the runs there could never be counted as over; nor
     // does one for runs that are to end.
     const bool renews = m_silent_since.count() == 0 &&
-                        std::any_of(m_runs.begin(), m_runs.end(), [](const auto& entry) {
-                            return !entry.second.foreign && !entry.second.view.stopping;
-                        });
+                        std::any_of(m_runs.begin(), m_runs.end(),
+                                    [](const auto& entry) {
+                                        return !entry.second.foreign && !entry.second.view.stopping;
+                                    });
     out.push_back(actions::hold_worker{request, m_entry.id, m_entry.address, m_fence,
                                        renews ? next_lease(now) : 0, m_ends_seen, wait,
                                        wait + std::max(hold_slack, m_settings.order_timeout)});
--- a/src/pool/held_worker.hpp
+++ b/src/pool/held_worker.hpp
@@ -21,8 +21,8 @@
     // A worker on which nothing runs is asked this often whether it is still there and ours. A hold
     // that was lost hides the ends of runs that began meanwhile for as long.
     milliseconds idle_check{400};
-    // An order without an answer for this long is in doubt. A round trip takes 1 to 3 ms; a task that
-    // is placed again after this time still ends within the tightest objective of 170 ms.
+    // An order without an answer for this long is in doubt. A round trip takes 1 to 3 ms; a task
+    // that is placed again after this time still ends within the tightest objective of 170 ms.
     milliseconds order_timeout{50};
     // Pause before a silent worker is asked again.
     milliseconds retry{60};
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -77,6 +77,8 @@
     for (const auto& [id, entry] : registry)
     {
         const auto known = m_registry.find(id);
+        if (known != m_registry.end() && known->second.born_ms != entry.born_ms)
+            m_lost.erase(id);
         if (known == m_registry.end() || known->second.leaving != entry.leaving)
             out.push_back(actions::log_event{
                 false, "event=worker_listed worker=" + id + " data_centre=" + entry.data_centre +
@@ -155,8 +157,8 @@
             m_give_back.insert(id);
         }
     }
-    std::erase_if(m_give_back, [&](const std::string& id)
-                  { return m_pool.release(id) || !m_pool.holds(id); });
+    std::erase_if(m_give_back,
+                  [&](const std::string& id) { return m_pool.release(id) || !m_pool.holds(id); });
 }
 
 bool pool_host::may_take(const worker_entry& entry, instant now, action_list& out)
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -28,16 +28,17 @@
     // A worker of another data centre is taken only after it could be reached for this long while
     // no host announced it: when a cut heals, its holder's heartbeats come within that time.
     milliseconds away_patience{1200};
-    // A host that is cut off from the others takes a silent holder's workers one by one, `trial_every`
-    // apart, after this silence. One that still runs something, although leases have ended by then,
-    // shows that its holder lives; then nothing more is taken for `trial_pause`. After `trials`
-    // workers with nothing on them the holder counts as dead.
+    // A host that is cut off from the others takes a silent holder's workers one by one,
+    // `trial_every` apart, after this silence. One that still runs something, although leases have
+    // ended by then, shows that its holder lives; then nothing more is taken for `trial_pause`.
+    // After `trials` workers with nothing on them the holder counts as dead.
     milliseconds trial_after{900};
     milliseconds trial_every{100};
     milliseconds trial_pause{3000};
     std::uint32_t trials = 4;
     // A worker that an unknown host took is left alone for this long, or until its holder was heard
-    // of: a host that is cut off from the others would take it back and forth.
+    // of: a host that is cut off from the others would take it back and forth. So is one whose
+    // lifetime is over, until its entry tells of a new one.
     milliseconds lost_patience{5000};
     // A vanished worker may be missing from the registry for about 2 s after an outage of the
     // store.
@@ -91,7 +92,7 @@
     route_config_ptr m_config;
     worker_registry m_registry;
     std::map<std::string, microseconds> m_vanished;
-    std::map<std::string, microseconds> m_lost; // workers that another host took, and when
+    std::map<std::string, microseconds> m_lost; // workers that were lost, and when
     // While cut off: workers taken on trial, those to be given back, and what was found.
     std::set<std::string> m_trials;
     std::set<std::string> m_give_back;
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -463,8 +463,8 @@
         return;
     record.silence_told = silent;
     out.push_back(actions::log_event{
-        silent, silent ? "event=worker_silent worker=" + worker + " silent_ms=" +
-                             std::to_string(ms(now - since)) +
+        silent, silent ? "event=worker_silent worker=" + worker +
+                             " silent_ms=" + std::to_string(ms(now - since)) +
                              " runs=" + std::to_string(record.worker.runs().size())
                        : "event=worker_answers worker=" + worker});
 }
@@ -662,8 +662,7 @@
     for (const auto& view : record->second.worker.runs())
         runs.push_back(view.run);
     forget(event.worker);
-    if (event.reason == order_result::stale_fence)
-        m_losses.push_back(event.worker);
+    m_losses.push_back(event.worker);
     const bool over = event.reason == order_result::other_lifetime;
     for (const auto& run : runs)
     {
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -70,8 +70,8 @@
     bool holds(const std::string& worker) const { return m_workers.contains(worker); }
     // True if all these workers are held here and nothing of a former holder runs on them.
     bool cleared(const std::vector<std::string>& workers) const;
-    // Tells which of this pool's workers a caller's host knows of, as a held_version: only those run
-    // its jobs, so that it knows where to look if this host dies.
+    // Tells which of this pool's workers a caller's host knows of, as a held_version: only those
+    // run its jobs, so that it knows where to look if this host dies.
     void set_visibility(std::function<std::uint64_t(const caller_ref&)> visible)
     {
         m_visible = std::move(visible);
@@ -98,7 +98,8 @@
     void tick(microseconds now, action_list& out);
     bool on_worker(microseconds now, std::uint64_t request, const worker_reply& reply,
                    action_list& out);
-    // Workers that another host took since the last call.
+    // Workers that were lost since the last call: another host took them, or their lifetime is
+    // over.
     std::vector<std::string> take_losses() { return std::exchange(m_losses, {}); }
     std::vector<pool_result> take_results() { return std::exchange(m_results, {}); }
 
--- a/src/standin/pool_worker_model.cpp
+++ b/src/standin/pool_worker_model.cpp
@@ -114,8 +114,8 @@
 
 void pool_worker_model::extend(std::int64_t lease_until_ms, microseconds now)
 {
-    m_lease_until_ms = std::max(m_lease_until_ms,
-                                std::min(lease_until_ms, clock_ms(now) + longest_lease_ms));
+    m_lease_until_ms =
+        std::max(m_lease_until_ms, std::min(lease_until_ms, clock_ms(now) + longest_lease_ms));
 }
 
 worker_reply pool_worker_model::lists(microseconds now) const
@@ -126,8 +126,9 @@
     reply.born_ms = m_born_ms;
     for (const auto& [run, task] : m_running)
     {
-        const auto share = static_cast<double>((now - task.began).count()) /
-                           static_cast<double>(std::max<std::int64_t>(1, (task.ends - task.began).count()));
+        const auto share =
+            static_cast<double>((now - task.began).count()) /
+            static_cast<double>(std::max<std::int64_t>(1, (task.ends - task.began).count()));
         reply.running.push_back({run, static_cast<std::uint32_t>(share * 100)});
     }
     reply.ended = m_ended;
@@ -143,8 +144,7 @@
     if (refused(order.fence, reply))
         return reply;
     extend(order.lease_until_ms, now);
-    std::erase_if(m_ended,
-                  [&](const ended_line& line) { return line.number <= order.ends_seen; });
+    std::erase_if(m_ended, [&](const ended_line& line) { return line.number <= order.ends_seen; });
     return lists(now);
 }
 
--- a/src/standin/pool_worker_model.hpp
+++ b/src/standin/pool_worker_model.hpp
@@ -31,8 +31,7 @@
             ended;
     };
 
-    pool_worker_model(pool::worker_entry entry, double clock_rate, behaviour tasks,
-                      observer watch);
+    pool_worker_model(pool::worker_entry entry, double clock_rate, behaviour tasks, observer watch);
 
     const pool::worker_entry& entry() const { return m_entry; }
     bool up() const { return m_up; }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -33,8 +33,9 @@
     std::uint64_t end = 0;
     unsigned refuse = 0; // answer this many calls with 503 first
     std::vector<std::string> calls;
-    http_server server{context, {}, [this](http_request request, http_responder respond)
-                       { answer(request, std::move(respond)); }};
+    http_server server{context, {}, [this](http_request request, http_responder respond) {
+                           answer(request, std::move(respond));
+                       }};
 
     static std::string number(std::uint64_t value)
     {
@@ -54,7 +55,8 @@
         if (request.path == "/log-append")
             return respond({200, R"({"offset":0,"end":1})", "application/json", 0});
         if (request.path == "/log-newest")
-            return respond({200, R"({"items":[],"has_more":false,"end":0})", "application/json", 0});
+            return respond(
+                {200, R"({"items":[],"has_more":false,"end":0})", "application/json", 0});
         const bool config = request.query.find("keyed.op") != std::string::npos;
         const auto at = request.query.find("wait_ms=");
         if (!config || at == std::string::npos)
@@ -65,29 +67,31 @@
                             "application/octet-stream", 0});
         auto timer = std::make_shared<boost::asio::steady_timer>(
             context, milliseconds{std::stoi(request.query.substr(at + 8))});
-        timer->async_wait([timer, respond](boost::system::error_code)
-                          { respond({200, number(0) + number(0), "application/octet-stream", 0}); });
+        timer->async_wait(
+            [timer, respond](boost::system::error_code) {
+                respond({200, number(0) + number(0), "application/octet-stream", 0});
+            });
     }
 };
 
 // Runs the client until `done` or the limit; returns the time it took.
 milliseconds run_client(deaf_store& store, store_settings settings,
-                        const std::function<bool(const store_client&)>& done, milliseconds publish_at,
-                        milliseconds limit, std::vector<std::uint64_t>& versions)
+                        const std::function<bool(const store_client&)>& done,
+                        milliseconds publish_at, milliseconds limit,
+                        std::vector<std::uint64_t>& versions)
 {
     http_client http(store.context, 4);
     settings.address = "127.0.0.1:" + std::to_string(store.server.port());
     settings.own_name = "edge-1";
     store_client client(store.context, http, settings,
                         {[&](pool::route_config config) { versions.push_back(config.version); },
-                         [](pool::worker_registry) {}, [](const std::string&, const host_record&) {},
+                         [](pool::worker_registry) {},
+                         [](const std::string&, const host_record&) {},
                          [](bool, const std::string&) {}});
     client.start();
     const auto begin = std::chrono::steady_clock::now();
     const auto passed = [&]
-    {
-        return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begin);
-    };
+    { return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begin); };
     while (!done(client) && passed() < limit)
     {
         store.context.run_one_for(milliseconds{5});
@@ -153,15 +157,19 @@
 
 BOOST_AUTO_TEST_CASE(jobs_that_are_not_served_or_malformed_are_refused)
 {
-    const char* bad[] = {
-        "", "[]", "{", R"({"steps":[{"count":1}]})", R"({"best_effort":true})",
-        R"({"best_effort":true,"steps":[{"count":0}]})",
-        R"({"best_effort":true,"steps":[{"count":-1}]})",
-        R"({"best_effort":true,"steps":[{"count":"4"}]})",
-        R"({"best_effort":true,"steps":[{"count":1,"gang":true}]})",
-        R"({"best_effort":true,"steps":[{"count":1,"daemon":true}]})",
-        R"({"best_effort":true,"steps":[{"count":1,"after":["x"]}]})",
-        R"({"best_effort":true,"times":2,"steps":[{"count":1}]})", R"({"best_effort":true,"steps":[7]})"};
+    const char* bad[] = {"",
+                         "[]",
+                         "{",
+                         R"({"steps":[{"count":1}]})",
+                         R"({"best_effort":true})",
+                         R"({"best_effort":true,"steps":[{"count":0}]})",
+                         R"({"best_effort":true,"steps":[{"count":-1}]})",
+                         R"({"best_effort":true,"steps":[{"count":"4"}]})",
+                         R"({"best_effort":true,"steps":[{"count":1,"gang":true}]})",
+                         R"({"best_effort":true,"steps":[{"count":1,"daemon":true}]})",
+                         R"({"best_effort":true,"steps":[{"count":1,"after":["x"]}]})",
+                         R"({"best_effort":true,"times":2,"steps":[{"count":1}]})",
+                         R"({"best_effort":true,"steps":[7]})"};
     for (const auto* body : bad)
         BOOST_TEST(!decode_job(body).has_value(), body);
 }
@@ -225,11 +233,14 @@
     BOOST_TEST(entry->capacity.cpu == 16000);
     BOOST_TEST(entry->labels.size() == 2U);
     BOOST_TEST(entry->born_ms == 17U);
-    const char* bad[] = {"\xff\xfe", "7", R"({"service":"s"})",
-                         R"({"service":"s","addr":"a:1","zone":"z","state":"new","capacity":{}})",
-                         R"({"service":"s","addr":"a:1","zone":"z","state":"ready","capacity":7})",
-                         R"({"service":4,"addr":"a:1","zone":"z","state":"ready","capacity":{}})",
-                         R"({"service":"s","addr":"a:1","zone":"z","state":"ready","capacity":{"cpu":"x"}})"};
+    const char* bad[] = {
+        "\xff\xfe",
+        "7",
+        R"({"service":"s"})",
+        R"({"service":"s","addr":"a:1","zone":"z","state":"new","capacity":{}})",
+        R"({"service":"s","addr":"a:1","zone":"z","state":"ready","capacity":7})",
+        R"({"service":4,"addr":"a:1","zone":"z","state":"ready","capacity":{}})",
+        R"({"service":"s","addr":"a:1","zone":"z","state":"ready","capacity":{"cpu":"x"}})"};
     for (const auto* text : bad)
         BOOST_TEST(!decode_worker("i-1", text).has_value(), text);
 }
@@ -313,8 +324,8 @@
     BOOST_TEST(host->incarnation == 17U);
     BOOST_TEST(!batch->records.at(1).value.has_value());
     BOOST_TEST(!decode_batch(offsets + std::string("\0\0\0\x9z", 5)).has_value());
-    const auto page =
-        decode_page(R"({"items":[{"key":"k","value":"YWJjZA==","offset":4}],"has_more":true,"end":6})");
+    const auto page = decode_page(
+        R"({"items":[{"key":"k","value":"YWJjZA==","offset":4}],"has_more":true,"end":6})");
     BOOST_REQUIRE(page);
     BOOST_TEST(*page->records.at(0).value == "abcd");
     BOOST_TEST(page->more);
@@ -338,11 +349,17 @@
     std::string text((std::istreambuf_iterator<char>(file)), {});
     BOOST_TEST(!text.empty());
     const std::pair<std::string, std::string> values[] = {
-        {"{{node}}", "edge-1"},          {"{{zone}}", "jaro-depot"},
-        {"{{listen.front}}", "1.2.3.4:1"}, {"{{listen.ready}}", "1.2.3.4:2"},
-        {"{{listen.control}}", "1.2.3.4:3"}, {"{{ip}}", "1.2.3.4"},
-        {"{{port_range.0}}", "7720"},    {"{{platform.addr}}", "1.2.3.5:9"},
-        {"{{bounds.grace_s}}", "6"},     {"{{bounds.config_ms}}", "2000"},     {"{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", "\"1.2.3.6:3\""}};
+        {"{{node}}", "edge-1"},
+        {"{{zone}}", "jaro-depot"},
+        {"{{listen.front}}", "1.2.3.4:1"},
+        {"{{listen.ready}}", "1.2.3.4:2"},
+        {"{{listen.control}}", "1.2.3.4:3"},
+        {"{{ip}}", "1.2.3.4"},
+        {"{{port_range.0}}", "7720"},
+        {"{{platform.addr}}", "1.2.3.5:9"},
+        {"{{bounds.grace_s}}", "6"},
+        {"{{bounds.config_ms}}", "2000"},
+        {"{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", "\"1.2.3.6:3\""}};
     for (const auto& [mark, value] : values)
         for (auto at = text.find(mark); at != std::string::npos; at = text.find(mark))
             text.replace(at, mark.size(), value);
@@ -358,7 +375,8 @@
 {
     const auto settings = parse_edge_settings("name: a\ncallers: nowhere\nlog_lines_per_s: 0\n");
     BOOST_REQUIRE(!settings);
-    for (const char* fault : {"data_centre", "callers", "readiness", "peers", "store", "log_lines_per_s"})
+    for (const char* fault :
+         {"data_centre", "callers", "readiness", "peers", "store", "log_lines_per_s"})
         BOOST_TEST(settings.error().message.find(fault) != std::string::npos, fault);
     BOOST_TEST(!parse_edge_settings(": :").has_value());
     BOOST_TEST(!parse_edge_settings("[]").has_value());
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -36,9 +36,9 @@
 
 std::size_t count_of(const pool_world& world, answer_kind kind)
 {
-    return static_cast<std::size_t>(
-        std::count_if(world.calls().begin(), world.calls().end(), [&](const auto& call)
-                      { return call.answered.count() >= 0 && call.answer.kind == kind; }));
+    return static_cast<std::size_t>(std::count_if(
+        world.calls().begin(), world.calls().end(),
+        [&](const auto& call) { return call.answered.count() >= 0 && call.answer.kind == kind; }));
 }
 
 // A steady load: a job of `tasks` tasks of `time` every `every`, at the hosts in turn.
@@ -75,9 +75,9 @@
     template <class Order>
     std::size_t sent() const
     {
-        return static_cast<std::size_t>(
-            std::count_if(out.begin(), out.end(), [](const action& action)
-                          { return std::holds_alternative<Order>(action); }));
+        return static_cast<std::size_t>(std::count_if(
+            out.begin(), out.end(),
+            [](const action& action) { return std::holds_alternative<Order>(action); }));
     }
     void reply(microseconds now, std::uint64_t request, worker_reply text)
     {
@@ -262,13 +262,13 @@
                              random() % 5 != 0});
         std::map<std::string, int> taken;
         for (const auto& host : hosts)
-            for (const auto& id :
-                 choose_workers({24}, host.name, registry, hosts, {}, {}).take)
+            for (const auto& id : choose_workers({24}, host.name, registry, hosts, {}, {}).take)
                 ++taken[id];
-        const bool someone = std::any_of(hosts.begin(), hosts.end(), [](const candidate& host)
-                                         { return !host.leaving && host.settled; });
-        const bool all_settled = std::all_of(hosts.begin(), hosts.end(), [](const candidate& host)
-                                             { return host.settled; });
+        const bool someone =
+            std::any_of(hosts.begin(), hosts.end(),
+                        [](const candidate& host) { return !host.leaving && host.settled; });
+        const bool all_settled = std::all_of(hosts.begin(), hosts.end(),
+                                             [](const candidate& host) { return host.settled; });
         for (const auto& [id, entry] : registry)
         {
             BOOST_TEST(taken[id] <= 1);
@@ -283,8 +283,9 @@
     worker_registry registry;
     for (int i = 0; i < 30; ++i)
         registry.emplace("w" + std::to_string(i), an_entry("w" + std::to_string(i)));
-    const std::vector<candidate> hosts{
-        {"h1", "dc1", 0, false, true}, {"h2", "dc1", 0, false, true}, {"h3", "dc2", 0, false, true}};
+    const std::vector<candidate> hosts{{"h1", "dc1", 0, false, true},
+                                       {"h2", "dc1", 0, false, true},
+                                       {"h3", "dc2", 0, false, true}};
     const auto size = [&](const std::string& host)
     { return choose_workers({24}, host, registry, hosts, {}, {}).take.size(); };
     BOOST_TEST(size("h3") == 0U);
@@ -295,8 +296,9 @@
 BOOST_AUTO_TEST_CASE(routes_match_by_host_and_longest_prefix)
 {
     route_config config;
-    for (const auto& [host, prefix] : {std::pair{"a.example", "/x/"}, std::pair{"a.example", "/x/y/"},
-                                       std::pair{"b.example", "/x/"}})
+    for (const auto& [host, prefix] :
+         {std::pair{"a.example", "/x/"}, std::pair{"a.example", "/x/y/"},
+          std::pair{"b.example", "/x/"}})
     {
         route row;
         row.name = std::string(host) + prefix;
@@ -384,8 +386,8 @@
         if (held_by(world, host) > 0)
             world.kill_host(host);
     world.run_until(at_ms(3500));
-    BOOST_TEST(std::max(world.host(0) ? held_by(world, 0) : 0, world.host(1) ? held_by(world, 1) : 0) ==
-               6U);
+    BOOST_TEST(std::max(world.host(0) ? held_by(world, 0) : 0,
+                        world.host(1) ? held_by(world, 1) : 0) == 6U);
     BOOST_TEST(world.violations().empty());
 }
 
@@ -472,7 +474,8 @@
     pool_world world({});
     world.run_until(at_ms(2500));
     for (int i = 0; i < 400; ++i)
-        world.submit(static_cast<std::uint32_t>(i) % 6, "flood" + std::to_string(i), 8, a_task, 900ms);
+        world.submit(static_cast<std::uint32_t>(i) % 6, "flood" + std::to_string(i), 8, a_task,
+                     900ms);
     world.submit(0, "too large", 1, {99000, 64, 0}, 60ms);
     world.run_until(at_ms(2520));
     const auto refused = count_of(world, answer_kind::over_capacity);
@@ -522,7 +525,8 @@
     }
 }
 
-// Found by the day `cuts` on kalinaw-egret: a host that was cut off from all others took every worker.
+// Found by the day `cuts` on kalinaw-egret: a host that was cut off from all others took every
+// worker.
 BOOST_AUTO_TEST_CASE(a_host_that_is_cut_off_leaves_busy_workers_to_their_holders)
 {
     pool_world world({});
@@ -593,3 +597,39 @@
         BOOST_TEST((call.answered - call.sent).count() < at_ms(2200).count());
     BOOST_TEST(world.violations().empty());
 }
+
+// Seen on trouble-1 of kalinaw-egret: entries of crashed workers were taken 25 times a second.
+BOOST_AUTO_TEST_CASE(a_worker_whose_lifetime_is_over_is_left_alone_until_it_begins_anew)
+{
+    pool_host_settings settings;
+    settings.members.self = {"h1", 1};
+    settings.members.data_centre = "dc1";
+    settings.members.address = "h1";
+    pool_host host(settings);
+    action_list out;
+    worker_registry registry{{"w1", an_entry("w1")}};
+    std::size_t holds = 0;
+    const auto run = [&](std::int64_t from_ms, std::int64_t until_ms)
+    {
+        for (auto ms = from_ms; ms < until_ms; ms += 20)
+        {
+            const instant now{at_ms(ms), milliseconds{1800000000000 + ms}};
+            host.tick(now, out);
+            for (const auto& action : std::exchange(out, {}))
+                if (const auto* hold = std::get_if<actions::hold_worker>(&action))
+                {
+                    ++holds;
+                    worker_reply gone;
+                    gone.result = order_result::other_lifetime;
+                    host.on_worker(now, hold->request, gone, out);
+                }
+        }
+    };
+    host.set_registry({at_ms(1), milliseconds{1800000000000}}, registry, out);
+    run(20, 4000);
+    BOOST_TEST(holds == 1U);
+    registry.at("w1").born_ms = 9;
+    host.set_registry({at_ms(4000), milliseconds{1800000004000}}, registry, out);
+    run(4020, 4200);
+    BOOST_TEST(holds == 2U);
+}
