A cut-off host takes at once what its neighbour gives up

Ruled out: reachability of workers. Change: a trial is only for workers that a silent host announced. A test that failed before.

--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -125,9 +125,17 @@
 // Whether a host that is cut off may take this worker now; see trial_after.
 bool pool_host::may_try(const std::string& worker, instant now)
 {
+    bool held_in_silence = false;
     for (const auto& [name, host] : m_members.all())
-        if (host.held.contains(worker) && now.steady - host.heard < m_settings.trial_after)
+    {
+        if (!host.held.contains(worker))
+            continue;
+        held_in_silence = true;
+        if (now.steady - host.heard < m_settings.trial_after)
             return false;
+    }
+    if (!held_in_silence)
+        return true; // its holder gave it up while it could still be heard
     if (m_empty_trials >= m_settings.trials)
         return true;
     if (now.steady < m_next_trial || !m_trials.empty())
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -633,3 +633,18 @@
     run(4020, 4200);
     BOOST_TEST(holds == 2U);
 }
+
+// Seen on trouble-1 of kalinaw-egret: a data centre was cut off while its holder was stopped.
+BOOST_AUTO_TEST_CASE(a_cut_off_host_takes_at_once_what_its_neighbour_gives_up)
+{
+    pool_world world({});
+    world.run_until(at_ms(2500));
+    const std::uint32_t holder = held_by(world, 0) > 0 ? 0 : 1;
+    for (std::uint32_t inside = 0; inside < 2; ++inside)
+        for (std::uint32_t outside = 2; outside < 6; ++outside)
+            world.cut_hosts(inside, outside, true);
+    world.run_until(at_ms(3500));
+    world.stop_host(holder);
+    world.run_until(at_ms(3900));
+    BOOST_TEST(held_by(world, 1 - holder) == 6U);
+}
