--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,8 @@
 JOBS ?= $(shell nproc)
 SEEDS ?= 20000
 FIRST_SEED ?= 1
+# Tests that run beside each other; the longest three decide.
+TESTS_AT_ONCE ?= 3
 
 .PHONY: all install test demo soak broken asan tsan lint format bench clean
 
@@ -17,7 +19,7 @@
 endif
 
 test: all
-	ctest --test-dir build --output-on-failure
+	ctest --test-dir build --output-on-failure -j $(TESTS_AT_ONCE)
 
 demo: all
 	sh scripts/demo.sh
@@ -27,6 +29,7 @@
 
 soak: all
 	build/egret-soak --first $(FIRST_SEED) --seeds $(SEEDS)
+	build/egret-pool-soak --seeds 500
 
 # Builds the logic with one rule broken at a time: the history checker must see each.
 broken: install
@@ -34,13 +37,13 @@
 
 asan: install
 	cmake --preset asan > /dev/null
-	cmake --build build-asan -j $(JOBS)
-	ctest --test-dir build-asan --output-on-failure
+	cmake --build build-asan -j $(JOBS) --target checks
+	ctest --test-dir build-asan --output-on-failure -j $(TESTS_AT_ONCE)
 
 tsan: install
 	cmake --preset tsan > /dev/null
-	cmake --build build-tsan -j $(JOBS)
-	ctest --test-dir build-tsan --output-on-failure
+	cmake --build build-tsan -j $(JOBS) --target checks
+	ctest --test-dir build-tsan --output-on-failure -j $(TESTS_AT_ONCE)
 
 clean:
 	rm -rf build build-*
--- a/scripts/check-style.sh
+++ b/scripts/check-style.sh
@@ -4,5 +4,5 @@
 set -eu
 files=$(git ls-files '*.cpp' '*.hpp')
 clang-format --dry-run --Werror $files
-sources=$(git ls-files 'src/**/*.cpp' 'src/*.cpp' 'apps/*.cpp' 'harness/*.cpp' 'bench/*.cpp')
+sources=$(git ls-files 'src/**/*.cpp' 'src/*.cpp' 'platform/*.cpp' 'apps/*.cpp' 'harness/*.cpp' 'bench/*.cpp')
 echo "$sources" | tr ' ' '\n' | sort -u | xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p build
