Two broken rules more that the checker must see; a capture that clang refuses

Change: EGRETLEDGE_BREAK=doubt gives room away without settling a start, =lapse counts runs as over at once; check-broken.sh runs both against the pools' schedules. A structured binding is not captured by a lambda.

--- a/scripts/check-broken.sh
+++ b/scripts/check-broken.sh
@@ -12,3 +12,12 @@
     fi
     echo "rule '$rule' broken: seen"
 done
+for rule in doubt lapse; do
+    cmake -S . -B "build-broken-$rule" -DEGRETLEDGE_BREAK=$rule > /dev/null
+    cmake --build "build-broken-$rule" -j "$(nproc)" --target egret-pool-soak > /dev/null
+    if "build-broken-$rule/egret-pool-soak" --first 1 --seeds 200; then
+        echo "rule '$rule' is broken and the checker did not see it"
+        exit 1
+    fi
+    echo "rule '$rule' broken: seen"
+done
--- a/src/pool/held_worker.cpp
+++ b/src/pool/held_worker.cpp
@@ -162,7 +162,11 @@
 {
     if (m_lost)
         return;
+#ifdef EGRETLEDGE_BREAK_LAPSE
+    if (m_silent_since.count() != 0 && !m_runs.empty())
+#else
     if (m_silent_since.count() != 0 && !m_runs.empty() && lease_surely_over(now))
+#endif
     {
         end_all(now, run_end::lapsed, events);
         raise_fence();
@@ -305,6 +309,9 @@
     case order_result::no_answer:
         if (!open || entry->second.fence < m_fence)
             return; // it has ended meanwhile, or a raised token settles it already
+#ifdef EGRETLEDGE_BREAK_DOUBT
+        return not_started(reply.result);
+#endif
         raise_fence();
         return;
     case order_result::unreachable:
--- a/src/pool/steward.cpp
+++ b/src/pool/steward.cpp
@@ -62,12 +62,13 @@
     {
         if (own.contains(id))
         {
-            const bool away = entry.data_centre != myself->data_centre;
-            const bool local_host = std::any_of(hosts.begin(), hosts.end(),
-                                                [&](const candidate& host) {
-                                                    return !host.leaving && host.settled &&
-                                                           host.data_centre == entry.data_centre;
-                                                });
+            const auto& centre = entry.data_centre;
+            const bool away = centre != myself->data_centre;
+            const bool local_host =
+                std::any_of(hosts.begin(), hosts.end(),
+                            [&](const candidate& host) {
+                                return !host.leaving && host.settled && host.data_centre == centre;
+                            });
             if (myself->leaving || (away && local_host))
                 result.yield.push_back(id);
             continue;
