Half of the unanswered orders are carried out at once in the pools' world

Cause: check-broken's rule 'doubt' was not seen in 200 schedules: every unanswered order came after its lease. Change: half of them take effect at once, as when only the answer is lost.

--- a/harness/pool_world.cpp
+++ b/harness/pool_world.cpp
@@ -283,7 +283,9 @@
     std::uint32_t target = 0;
     while (m_workers[target]->entry().id != order.worker)
         ++target;
-    const bool late = std::bernoulli_distribution(m_late_share)(m_random);
+    // Of the orders without an answer half are carried out at once, and half seconds later.
+    const bool unanswered = std::bernoulli_distribution(m_late_share)(m_random);
+    const bool late = unanswered && std::bernoulli_distribution(0.5)(m_random);
     const auto when = m_now + (late ? microseconds{std::uniform_int_distribution<std::int64_t>(
                                           late_least.count(), late_most.count())(m_random)}
                                     : delay());
@@ -297,8 +299,8 @@
        });
     if (m_cut_workers.contains({index, target}))
         return;
-    at(when,
-       [this, index, life, target, order, late] { deliver(index, life, target, order, !late); });
+    at(when, [this, index, life, target, order, unanswered]
+       { deliver(index, life, target, order, !unanswered); });
 }
 
 template <class Order>
