--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -1,9 +1,4 @@
-// Jobs wait in one queue. A job that can still end in time goes before one that cannot, and among
-// those the one that has to start first goes first; late ones run on what is left. Tasks are placed
-// one by one as room comes free, on the worker where the sum of expected time and stranded capacity
-// is smallest: with tasks of two fifths of a worker, pairing a large with a small one keeps more
-// tasks running than spreading them. The trade-off is that a task may go to a slower worker because
-// it fits there better.
+// Which job goes first and where its tasks go is in placement.cpp.
 //
 // A job is refused at once if the work ahead of it does not leave it the time that its caller
 // waits, and later only while nothing of it was started. After a start there is no refusal: the
@@ -23,13 +18,9 @@
 namespace
 {
 
-constexpr milliseconds check_every{25}; // expiry and stuck runs; a fraction of the shortest slack
-constexpr double stranded_ms_per_cpu = 0.002; // 16 ms for half a worker of 16 cores left over
-constexpr double off_rack_factor = 2;         // without the preferred rack a task takes longer
-constexpr double slowness_rate = 0.3;         // weight of the newest run in a worker's slowness
-constexpr double slowness_decay = 0.995;      // a check: a slow worker is tried again after seconds
-constexpr double packing = 0.85;              // the share of capacity that tasks can fill
-constexpr std::uint32_t most_scanned = 64;    // jobs that are looked at for one placement round
+constexpr milliseconds check_every{25};  // expiry and stuck runs; a fraction of the shortest slack
+constexpr double slowness_rate = 0.3;    // weight of the newest run in a worker's slowness
+constexpr double slowness_decay = 0.995; // a check: a slow worker is tried again after seconds
 constexpr unsigned fence_identity_bits = 12;
 constexpr std::uint64_t probe_fence = 1;   // below every holder's token
 constexpr milliseconds probe_every{300};   // a quarter of the time that a probe has to hold good
@@ -154,61 +145,6 @@
     return std::max(milliseconds{1}, m_run_times.expect(job.terms.route, step.estimate));
 }
 
-bool worker_pool::accepts(const worker_record& record, microseconds now) const
-{
-    if (!record.worker.usable() || record.leaving || record.vanished)
-        return false;
-    if (now < record.quarantined_until)
-        return false;
-    return !record.probation || record.worker.idle();
-}
-
-std::int64_t worker_pool::free_cpu(microseconds now) const
-{
-    std::int64_t sum = 0;
-    for (const auto& [id, record] : m_workers)
-        if (accepts(record, now))
-            sum += record.worker.free().cpu;
-    return sum;
-}
-
-std::int64_t worker_pool::total_cpu(microseconds now) const
-{
-    std::int64_t sum = 0;
-    for (const auto& [id, record] : m_workers)
-        if (accepts(record, now))
-            sum += record.worker.entry().capacity.cpu;
-    return sum;
-}
-
-milliseconds worker_pool::expected_wait(microseconds now) const
-{
-    return wait_behind(now, [](const open_job&) { return true; });
-}
-
-milliseconds worker_pool::wait_behind(microseconds now,
-                                      const std::function<bool(const open_job&)>& counts) const
-{
-    const auto capacity = static_cast<double>(total_cpu(now)) * packing;
-    if (capacity <= 0)
-        return milliseconds{1000};
-    double work = 0;
-    for (const auto& [id, job] : m_jobs)
-    {
-        if (job.waiting == 0 || !counts(job))
-            continue;
-        for (const auto& task : job.tasks)
-        {
-            if (task.stage != task_stage::waiting)
-                continue;
-            const auto& step = job.request.steps[task.step];
-            work += static_cast<double>(step.need.cpu) *
-                    static_cast<double>(expected(job.request, step).count());
-        }
-    }
-    return milliseconds{static_cast<std::int64_t>(work / capacity)};
-}
-
 std::size_t worker_pool::waiting_jobs(const std::string& route) const
 {
     return static_cast<std::size_t>(std::count_if(
@@ -217,22 +153,6 @@
         { return entry.second.starts == 0 && entry.second.request.terms.route == route; }));
 }
 
-bool worker_pool::fits_somewhere(const job_request& job) const
-{
-    return std::all_of(job.steps.begin(), job.steps.end(),
-                       [&](const job_step& step)
-                       {
-                           return std::any_of(m_workers.begin(), m_workers.end(),
-                                              [&](const auto& entry)
-                                              {
-                                                  const auto& about = entry.second.worker.entry();
-                                                  return about.service == job.terms.service &&
-                                                         step.need.fits(about.capacity) &&
-                                                         !entry.second.leaving;
-                                              });
-                       });
-}
-
 call_answer worker_pool::refusal(answer_kind kind, microseconds now, std::string detail) const
 {
     return {kind, std::max(m_settings.least_retry_after, expected_wait(now)), std::move(detail)};
@@ -323,109 +243,6 @@
             (answer.detail.empty() ? "" : " detail=\"" + answer.detail + "\"")});
 }
 
-bool worker_pool::eligible(const open_job& job, const task_state& task) const
-{
-    const auto& after = job.request.steps[task.step].after;
-    return std::all_of(after.begin(), after.end(),
-                       [&](std::uint32_t step) { return job.step_left[step] == 0; });
-}
-
-worker_pool::worker_record* worker_pool::choose(const open_job& job, const task_state& task,
-                                                std::uint64_t visible, microseconds now)
-{
-    const auto& step = job.request.steps[task.step];
-    const auto time = static_cast<double>(expected(job.request, step).count());
-    const auto has_label = [](const worker_entry& about, const std::string& label)
-    { return std::find(about.labels.begin(), about.labels.end(), label) != about.labels.end(); };
-    const auto of_step = [&](const std::string& worker)
-    {
-        return static_cast<std::uint32_t>(std::count_if(job.tasks.begin(), job.tasks.end(),
-                                                        [&](const task_state& other)
-                                                        {
-                                                            return other.step == task.step &&
-                                                                   other.worker == worker &&
-                                                                   other.stage ==
-                                                                       task_stage::placed;
-                                                        }));
-    };
-    worker_record* best = nullptr;
-    double best_score = 0;
-    for (auto& [id, record] : m_workers)
-    {
-        const auto& about = record.worker.entry();
-        if (!accepts(record, now) || about.service != job.request.terms.service ||
-            record.since_version > visible)
-            continue;
-        const auto free = record.worker.free();
-        if (!step.need.fits(free))
-            continue;
-        if (!step.required_label.empty() && !has_label(about, step.required_label))
-            continue;
-        if (step.most_per_worker > 0 && of_step(id) >= step.most_per_worker)
-            continue;
-        double score = time * record.slowness +
-                       stranded_ms_per_cpu * static_cast<double>(free.cpu - step.need.cpu);
-        if (!step.preferred_rack.empty() && !has_label(about, step.preferred_rack))
-            score += time * (off_rack_factor - 1);
-        if (std::find(task.avoid.begin(), task.avoid.end(), id) != task.avoid.end())
-            score += 10 * time;
-        if (best == nullptr || score < best_score)
-        {
-            best = &record;
-            best_score = score;
-        }
-    }
-    return best;
-}
-
-std::vector<worker_pool::open_job*> worker_pool::in_order(microseconds now)
-{
-    std::vector<open_job*> jobs;
-    for (auto& [id, job] : m_jobs)
-        if (job.waiting > 0 && !job.after_former)
-            jobs.push_back(&job);
-    const auto key = [now](const open_job* job)
-    {
-        const auto latest_start = job->objective - job->longest;
-        return std::make_tuple(latest_start < now, latest_start, job->request.terms.priority);
-    };
-    std::sort(jobs.begin(), jobs.end(),
-              [&](const open_job* a, const open_job* b) { return key(a) < key(b); });
-    return jobs;
-}
-
-void worker_pool::place(microseconds now, action_list& out)
-{
-    std::uint32_t scanned = 0;
-    for (auto* job : in_order(now))
-        if (!place_tasks(now, *job, out) && ++scanned >= most_scanned)
-            return;
-}
-
-// Returns false if a task found no room.
-bool worker_pool::place_tasks(microseconds now, open_job& job, action_list& out)
-{
-    const auto visible =
-        job.caller.host.empty() || !m_visible ? m_held_version : m_visible(job.caller);
-    for (auto& task : job.tasks)
-    {
-        if (task.stage != task_stage::waiting || !eligible(job, task))
-            continue;
-        auto* record = choose(job, task, visible, now);
-        if (record == nullptr)
-            return false;
-        const run_ref run{{job.request.id, 0, task.step, task.index}, task.next_run++};
-        task.stage = task_stage::placed;
-        task.worker = record->worker.entry().id;
-        --job.waiting;
-        ++job.starts;
-        ++m_totals.starts;
-        record->worker.start(now, run, job.request.steps[task.step].need, job.request.payload,
-                             m_next_request, out);
-    }
-    return true;
-}
-
 void worker_pool::tick(microseconds now, action_list& out)
 {
     worker_events events;
