A former grantor's bound of refusals no longer speaks for an owner that left it

The owner was cut off from its grantor, claimed its own shards without one (a sole holder may refuse any key), cancelled a key it had never seen as "not run", and died. The former grantor took over and still held `renewed` and the bound from the time before the cut, so it believed that nothing newer than the bound was refused, and started the job that had waited with it.

Ruled out: a cancel that by-passes the gate (it went through may_refuse, whose bound was unlimited for a sole holder); a lapsed lease (the owner was the sole holder by the log).

--- a/src/core/ownership.cpp
+++ b/src/core/ownership.cpp
@@ -298,6 +298,9 @@
     {
         state.refusals_acked = milliseconds{0};
         state.refusals_beat = 0;
+        // What a former grantor was told bounds nothing that the owner refuses without it.
+        state.renewed = false;
+        state.refusals_until = milliseconds{0};
     }
     state.current = current;
     state.owner = owner;
@@ -313,8 +316,6 @@
     {
         state.direct_held = false;
         state.promised = microseconds{0};
-        state.renewed = false;
-        state.refusals_until = milliseconds{0};
         state.refusals_wanted = milliseconds{0};
     }
     if (is_self && !state.sole && state.claimed_at > microseconds{0})
@@ -657,7 +658,8 @@
         if (line.shard() >= m_shards.size() || !line.renew())
             continue;
         auto& state = m_shards[line.shard()];
-        if (state.owner != from || state.claim_open)
+        // A heartbeat of an earlier epoch may name a grantor that the owner has left since.
+        if (state.owner != from || state.claim_open || from_wire(line.epoch()) != state.current)
             continue;
         state.promised = now.steady;
         state.direct_held = line.direct();
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -215,14 +215,19 @@
 {
     explicit table(std::size_t hosts)
     {
+        nodes.resize(hosts);
         for (std::size_t i = 0; i < hosts; ++i)
-        {
-            ownership_settings settings;
-            settings.self = {"h" + std::to_string(i + 1), 1};
-            settings.data_centre = "dc";
-            settings.shards = 1;
-            nodes.push_back(std::make_unique<ownership>(settings, i));
-        }
+            restart(i);
+    }
+
+    // The process at this place is replaced by a new one.
+    void restart(std::size_t i)
+    {
+        ownership_settings settings;
+        settings.self = {"h" + std::to_string(i + 1), ++incarnations[i]};
+        settings.data_centre = "dc";
+        settings.shards = 1;
+        nodes[i] = std::make_unique<ownership>(settings, i);
     }
 
     // One tick of every host in `up`; messages and appends are carried out at once.
@@ -264,7 +269,7 @@
     void carry(std::size_t from, instant now, action_list& out, const std::vector<std::size_t>& up,
                bool log_up)
     {
-        const host_ref sender{"h" + std::to_string(from + 1), 1};
+        const host_ref sender{"h" + std::to_string(from + 1), incarnations[from]};
         for (auto& action : out)
         {
             if (const auto* append = std::get_if<actions::append_log>(&action); append && log_up)
@@ -303,6 +308,7 @@
     }
 
     std::vector<std::unique_ptr<ownership>> nodes;
+    std::map<std::size_t, std::uint64_t> incarnations; // of the running processes
     std::vector<std::string> records;
     std::vector<std::pair<std::size_t, gained_shard>> gains;
 };
@@ -374,6 +380,54 @@
     BOOST_TEST(owner.refusal_bound(0).count() == 500);
 }
 
+// The grantor heard the owner once, then was cut off from it, and the owner went on alone. What it
+// refused from then on is bounded by nothing that the former grantor knows.
+BOOST_AUTO_TEST_CASE(a_former_grantor_that_takes_over_assumes_that_any_key_was_refused)
+{
+    table t(2);
+    t.run(0, 3000, {0, 1});
+    const auto owner = t.serving(3000).at(0);
+    const auto other = 1 - owner;
+    // Each ticks and reads the log, but they do not hear each other.
+    for (std::int64_t ms = 3000; ms < 9000; ms += 10)
+    {
+        t.step(at(ms), {owner});
+        t.step(at(ms), {other});
+    }
+    BOOST_REQUIRE((t.serving(9000) == std::vector<std::size_t>{owner}));
+    BOOST_REQUIRE(t.nodes[owner]->refusal_bound(0) == milliseconds::max());
+    t.restart(owner);
+    t.run(9000, 13000, {0, 1});
+    BOOST_REQUIRE((t.gains.back().second.reason == gain_reason::takeover));
+    BOOST_TEST(!t.gains.back().second.refusals_known);
+}
+
+// A heartbeat that was sent before the owner named another grantor arrives late.
+BOOST_AUTO_TEST_CASE(a_late_heartbeat_of_an_earlier_epoch_is_not_granted)
+{
+    table t(2);
+    t.run(0, 3000, {0, 1});
+    const auto owner = t.serving(3000).at(0);
+    const auto other = 1 - owner;
+    wire::PeerMessage late;
+    auto& beat = *late.mutable_heartbeat();
+    beat.set_sequence(1'000'000);
+    auto& line = *beat.add_owned();
+    line.set_shard(0);
+    line.set_renew(true);
+    to_wire(t.nodes[owner]->epoch_of(0), *line.mutable_epoch());
+    for (std::int64_t ms = 3000; ms < 9000; ms += 10)
+    {
+        t.step(at(ms), {owner});
+        t.step(at(ms), {other});
+    }
+    action_list replies;
+    ownership_events events;
+    t.nodes[other]->on_heartbeat(at(9000), {"h" + std::to_string(owner + 1), 1}, beat, replies,
+                                 events);
+    BOOST_TEST(replies.empty());
+}
+
 namespace
 {
 
