Seeds that ever failed are replayed on every run; one reader of options for all programs

Change: tests/failed_seeds.txt holds kind, seed and cause; harness_test and pool_test replay it. egret-soak draws a first seed unless one is given, and prints it; `make soak` uses that. src/io/command_line.hpp is the one reader. A missing settings file is now an error on stderr that names the remedy, with exit code 2 as before.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 
 JOBS ?= $(shell nproc)
 SEEDS ?= 20000
-FIRST_SEED ?= 1
+# 0 draws one and prints it.
+FIRST_SEED ?= 0
 # Tests that run beside each other; the longest three decide.
 TESTS_AT_ONCE ?= 3
 
@@ -29,7 +30,7 @@
 
 soak: all
 	build/egret-soak --first $(FIRST_SEED) --seeds $(SEEDS)
-	build/egret-pool-soak --seeds 500
+	build/egret-pool-soak --first $(FIRST_SEED) --seeds 500
 
 # Builds the logic with one rule broken at a time: the history checker must see each.
 broken: install
--- a/apps/egret_standin.cpp
+++ b/apps/egret_standin.cpp
@@ -5,10 +5,9 @@
 //
 // It runs until SIGTERM. Everything is kept in memory.
 
+#include "io/command_line.hpp"
 #include "io/daemon.hpp"
 #include "io/standin_server.hpp"
-#include <boost/program_options.hpp>
-#include <iostream>
 
 namespace po = boost::program_options;
 using namespace egretledge;
@@ -80,16 +79,15 @@
     po::positional_options_description positions;
     positions.add("role", 1);
     po::variables_map values;
+    if (const auto code = egretledge::read_options(argc, argv, options, values, positions))
+        return *code;
+    if (given.role != "platform" && given.role != "worker")
+    {
+        std::cerr << "the role is platform or worker; see --help\n";
+        return egretledge::exit_usage;
+    }
     try
     {
-        po::store(po::command_line_parser(argc, argv).options(options).positional(positions).run(),
-                  values);
-        po::notify(values);
-        if (values.contains("help") || (given.role != "platform" && given.role != "worker"))
-        {
-            std::cout << options;
-            return values.contains("help") ? 0 : 2;
-        }
         return serve(given);
     }
     catch (const std::exception& e)
--- a/apps/egretd.cpp
+++ b/apps/egretd.cpp
@@ -6,10 +6,9 @@
 // Exit codes: 0 stopped gracefully (or the settings are good), 1 the stop's time limit passed or it
 // could not start, 2 wrong usage or settings.
 
+#include "io/command_line.hpp"
 #include "io/daemon.hpp"
 #include "io/logging.hpp"
-#include <boost/program_options.hpp>
-#include <iostream>
 
 int main(int argc, char** argv)
 {
@@ -19,19 +18,12 @@
                                                 "the YAML settings file")(
         "check-settings", "check the settings, print the effective ones, and end");
     po::variables_map given;
-    try
-    {
-        po::store(po::parse_command_line(argc, argv, options), given);
-    }
-    catch (const po::error& e)
-    {
-        std::cerr << e.what() << "; see --help\n";
-        return 2;
-    }
-    if (given.contains("help") || !given.contains("settings"))
+    if (const auto code = egretledge::read_options(argc, argv, options, given))
+        return *code;
+    if (!given.contains("settings"))
     {
-        std::cout << options << "\nexample: egretd --settings jaro-1.yaml\n";
-        return given.contains("help") ? 0 : 2;
+        std::cerr << "no settings file is named; example: egretd --settings jaro-1.yaml\n";
+        return egretledge::exit_usage;
     }
     const auto settings = egretledge::load_settings(given["settings"].as<std::string>());
     if (!settings)
--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -12,13 +12,12 @@
 
 #include "core/wire.hpp"
 #include "harness/world.hpp"
+#include "io/command_line.hpp"
 #include <algorithm>
 #include <array>
 #include <boost/json.hpp>
-#include <boost/program_options.hpp>
 #include <cmath>
 #include <iomanip>
-#include <iostream>
 #include <queue>
 
 using namespace egretledge;
@@ -376,21 +375,8 @@
         "seconds", po::value(&seconds), "span of arrivals")("seed", po::value(&seed), "seed")(
         "all", "every load and fault")("json", "one JSON object a row");
     po::variables_map given;
-    try
-    {
-        po::store(po::parse_command_line(argc, argv, options), given);
-        po::notify(given);
-    }
-    catch (const po::error& e)
-    {
-        std::cerr << e.what() << "; see --help\n";
-        return 2;
-    }
-    if (given.contains("help"))
-    {
-        std::cout << options;
-        return 0;
-    }
+    if (const auto code = egretledge::read_options(argc, argv, options, given))
+        return *code;
     const bool as_json = given.contains("json");
     const std::vector<deployment> places{
         {"iloilo", {"iloilo-city", "jaro-depot", "oton-yard"}, microseconds{500}},
--- /dev/null
+++ b/harness/failed_seeds.cpp
@@ -0,0 +1,32 @@
+#include "harness/failed_seeds.hpp"
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace egretledge::harness
+{
+
+std::vector<std::uint64_t> failed_seeds(const std::string& kind)
+{
+    const std::string path = std::string(EGRETLEDGE_SOURCE_DIR) + "/tests/failed_seeds.txt";
+    std::ifstream file(path);
+    if (!file)
+        throw std::runtime_error("cannot read " + path);
+    std::vector<std::uint64_t> seeds;
+    std::string line;
+    while (std::getline(file, line))
+    {
+        if (line.empty() || line.front() == '#')
+            continue;
+        std::istringstream words(line);
+        std::string of;
+        std::uint64_t seed = 0;
+        if (!(words >> of >> seed))
+            throw std::runtime_error(path + ": no kind and seed in the line: " + line);
+        if (of == kind)
+            seeds.push_back(seed);
+    }
+    return seeds;
+}
+
+} // namespace egretledge::harness
--- a/harness/pool_soak_main.cpp
+++ b/harness/pool_soak_main.cpp
@@ -5,8 +5,8 @@
 // Without --first it draws a first seed and prints it. Exit code 1 if a rule was broken.
 
 #include "harness/pool_schedule.hpp"
-#include <boost/program_options.hpp>
-#include <iostream>
+#include "io/command_line.hpp"
+#include <random>
 
 int main(int argc, char** argv)
 {
@@ -18,21 +18,8 @@
                                                 "the first seed; 0 draws one")(
         "seeds", po::value(&seeds)->default_value(200), "how many")("trace", "print every event");
     po::variables_map given;
-    try
-    {
-        po::store(po::parse_command_line(argc, argv, options), given);
-        po::notify(given);
-    }
-    catch (const po::error& e)
-    {
-        std::cerr << e.what() << "; see --help\n";
-        return 2;
-    }
-    if (given.contains("help"))
-    {
-        std::cout << options;
-        return 0;
-    }
+    if (const auto code = egretledge::read_options(argc, argv, options, given))
+        return *code;
     if (first == 0)
         first = std::random_device{}() + 1ULL;
     std::cout << "first seed " << first << '\n';
--- a/harness/soak_main.cpp
+++ b/harness/soak_main.cpp
@@ -3,13 +3,14 @@
 //     egret-soak --first 1 --seeds 20000
 //     egret-soak --first 4711 --seeds 1 --trace     replays one with the hosts' log lines
 //
-// Exits with 0 if all runs kept every promise and recovered, else with 1.
+// Without --first it draws a first seed and prints it. Exits with 0 if all runs kept every promise
+// and recovered, else with 1.
 
 #include "harness/schedule.hpp"
+#include "io/command_line.hpp"
 #include <atomic>
-#include <boost/program_options.hpp>
-#include <iostream>
 #include <mutex>
+#include <random>
 #include <thread>
 
 using namespace egretledge::harness;
@@ -51,30 +52,21 @@
 int main(int argc, char** argv)
 {
     namespace po = boost::program_options;
-    std::uint64_t first = 1;
+    std::uint64_t first = 0;
     std::uint64_t seeds = 0;
     unsigned threads = std::max(1U, std::thread::hardware_concurrency());
     po::options_description options("egret-soak");
-    options.add_options()("help", "print this")("first", po::value(&first), "the first seed")(
+    options.add_options()("help", "print this")("first", po::value(&first),
+                                                "the first seed; 0 draws one")(
         "seeds", po::value(&seeds)->default_value(1000), "how many seeds")(
         "threads", po::value(&threads), "threads")("trace", "print the hosts' log lines")(
         "quiet", "print only the totals")("unsafe-workers", "workers that ignore every fence");
     po::variables_map given;
-    try
-    {
-        po::store(po::parse_command_line(argc, argv, options), given);
-        po::notify(given);
-    }
-    catch (const po::error& e)
-    {
-        std::cerr << e.what() << "; see --help\n";
-        return 2;
-    }
-    if (given.contains("help"))
-    {
-        std::cout << options;
-        return 0;
-    }
+    if (const auto code = egretledge::read_options(argc, argv, options, given))
+        return *code;
+    if (first == 0)
+        first = std::random_device{}() + 1ULL;
+    std::cout << "first seed " << first << '\n';
     const auto broken =
         given.contains("unsafe-workers") ? sabotage::workers_ignore_fences : sabotage::none;
     const bool trace = given.contains("trace");
--- a/tests/harness_test.cpp
+++ b/tests/harness_test.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE harness
+#include "harness/failed_seeds.hpp"
 #include "harness/scenario.hpp"
 #include "harness/schedule.hpp"
 #include <atomic>
@@ -17,7 +18,7 @@
          std::filesystem::directory_iterator(std::string(EGRETLEDGE_SOURCE_DIR) + "/scenarios"))
         files.push_back(entry.path());
     std::sort(files.begin(), files.end());
-    BOOST_REQUIRE_GE(files.size(), 21U);
+    BOOST_REQUIRE_GE(files.size(), 24U);
     for (const auto& file : files)
     {
         const auto result = run_scenario(file.string());
@@ -59,6 +60,18 @@
     BOOST_TEST(refused > schedules);
 }
 
+BOOST_AUTO_TEST_CASE(schedules_that_once_failed_keep_every_promise)
+{
+    const auto seeds = failed_seeds("keys");
+    BOOST_REQUIRE(!seeds.empty());
+    for (const auto seed : seeds)
+    {
+        const auto run = run_schedule(seed);
+        BOOST_TEST(run.violation.empty(), "seed " << seed << ": " << run.violation);
+        BOOST_TEST(run.stuck.empty(), "seed " << seed << ": " << run.stuck);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(the_checker_sees_workers_that_ignore_fences)
 {
     std::size_t seen = 0;
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE pool
+#include "harness/failed_seeds.hpp"
 #include "harness/pool_schedule.hpp"
 #include "pool/steward.hpp"
 #include <boost/test/unit_test.hpp>
@@ -503,12 +504,11 @@
     BOOST_TEST((small->answered - small->sent).count() < at_ms(500).count());
 }
 
-// Each seed that ever broke a rule, with its cause.
+// Each seed that ever broke a rule; tests/failed_seeds.txt names its cause.
 BOOST_AUTO_TEST_CASE(schedules_that_once_failed_keep_every_rule)
 {
-    const std::uint64_t seeds[] = {
-        777422, // runs of a worker's new lifetime counted as over with the former one's
-    };
+    const auto seeds = failed_seeds("pool");
+    BOOST_REQUIRE(!seeds.empty());
     for (const auto seed : seeds)
         for (const auto& violation : run_pool_schedule(seed, false).violations)
             BOOST_ERROR("seed " << seed << ": " << violation);
