"Not run" is not said of a job that started at another host

Cause: a caller whose connection broke, or whose host died, submits its job again at another host. That host knew nothing of the first submission, and in an overload refused the job as not run although tasks of it had run.

Ruled out: asking all hosts before each refusal (dearest in an overload, and dead hosts do not answer); answering "unknown" to all while a host is silent.

Change: hosts announce in their heartbeats which jobs started (8-byte hashes, until the receiver has echoed a later heartbeat), and a host that takes a worker over announces what it finds on it. Every refusal goes through entry::truthful. The checker now refuses any "not run" after a start, and callers also come back after an unknown outcome.

--- a/harness/pool_world.cpp
+++ b/harness/pool_world.cpp
@@ -410,14 +410,12 @@
             record.answer.detail != std::to_string(host))
             continue;
         record.broken = true;
-        if (!m_jobs.at(record.job).comes_back)
-            continue;
-        at(m_now + come_back_after,
-           [this, host, job = record.job] { send_call((host + 1) % host_count(), job); });
+        if (m_jobs.at(record.job).comes_back)
+            come_back(host, record.job);
     }
 }
 
-void pool_world::on_answer(std::uint32_t, std::uint64_t number, const call_answer& answer)
+void pool_world::on_answer(std::uint32_t host, std::uint64_t number, const call_answer& answer)
 {
     auto& record = m_calls[number >> 8];
     if (record.broken)
@@ -432,6 +430,15 @@
     if (trace)
         std::cout << m_now.count() / 1000.0 << " caller of " << record.job << " is told "
                   << name_of(answer.kind) << '\n';
+    if (row_of(answer.kind).result == outcome::not_run && job.starts > 0)
+        violated("told that it has not run, but a task had started: " + record.job);
+    if (row_of(answer.kind).result == outcome::unknown && job.comes_back)
+        come_back(host, record.job);
+}
+
+void pool_world::come_back(std::uint32_t host, const std::string& job)
+{
+    at(m_now + come_back_after, [this, host, job] { send_call((host + 1) % host_count(), job); });
 }
 
 const pool_world::call_record* pool_world::last_call(const std::string& job) const
--- a/harness/pool_world.hpp
+++ b/harness/pool_world.hpp
@@ -5,8 +5,9 @@
 // The same seed gives the same run. The hosts run the daemon's own decision code.
 //
 // The checker watches workers and callers only: a worker's capacity is never exceeded, no task runs
-// twice at once, nothing of a job starts once all its submissions were refused, a complete answer
-// covers every task, and every call is answered once.
+// twice at once, nothing of a job starts once all its submissions were refused, no caller is told
+// "not run" of a job that has started, a complete answer covers every task, and every call is
+// answered once.
 
 #include "pool/pool_host.hpp"
 #include "standin/pool_worker_model.hpp"
@@ -36,8 +37,9 @@
     void run_until(microseconds time);
     void at(microseconds time, std::function<void()> what);
 
-    // Submits a job of `count` equal tasks at a host. A caller whose connection breaks submits it
-    // again 1.3 s later at another host, if `comes_back`.
+    // Submits a job of `count` equal tasks at a host. A caller whose connection breaks, or that is
+    // told that the outcome is unknown, submits it again 1.3 s later at another host, if
+    // `comes_back`.
     void submit(std::uint32_t host, const std::string& id, std::uint32_t count, pool::room need,
                 microseconds task_time, bool comes_back = false);
     void caller_leaves(const std::string& id);
@@ -115,6 +117,8 @@
                    pool::actions::hold_worker order, microseconds until);
     void on_answer(std::uint32_t host, std::uint64_t call, const pool::call_answer& answer);
     void break_calls(std::uint32_t host);
+    // The caller submits the job again, at the host after this one.
+    void come_back(std::uint32_t host, const std::string& job);
     void send_call(std::uint32_t host, const std::string& id);
     void advance_workers();
     void on_started(const std::string& worker, const pool::run_ref& run);
--- a/src/pool/entry.cpp
+++ b/src/pool/entry.cpp
@@ -129,8 +129,8 @@
     return job;
 }
 
-entry::entry(entry_settings settings, members& peers, worker_pool& own)
-    : m_settings(std::move(settings)), m_peers(peers), m_own(own)
+entry::entry(entry_settings settings, members& peers, worker_pool& own, const started_jobs& started)
+    : m_settings(std::move(settings)), m_peers(peers), m_own(own), m_started(started)
 {
 }
 
@@ -288,7 +288,6 @@
 void entry::send(microseconds now, open_call& call, action_list& out)
 {
     call.tried.insert(call.pool);
-    call.sent = now;
     const auto age = std::chrono::duration_cast<milliseconds>(now - call.arrived);
     if (call.pool.empty())
         return m_own.submit(now, call.job, {{}, 0, call.call}, age, out);
@@ -359,12 +358,22 @@
     settle(now, number, std::move(answer), out);
 }
 
+call_answer entry::truthful(const std::string& job, bool may_have_run, call_answer answer) const
+{
+    if (row_of(answer.kind).result != outcome::not_run)
+        return answer;
+    if (may_have_run)
+        return {answer_kind::worker_lost, {}, "placed anew in vain: " + answer.detail};
+    if (m_started.may_have_started(job))
+        return {answer_kind::worker_lost, {}, "it started elsewhere: " + answer.detail};
+    return answer;
+}
+
 void entry::settle(microseconds now, std::uint64_t number, call_answer answer, action_list& out)
 {
     const auto found = m_calls.find(number);
     const auto& call = found->second;
-    if (call.may_have_run && row_of(answer.kind).result == outcome::not_run)
-        answer = {answer_kind::worker_lost, {}, "placed anew in vain: " + answer.detail};
+    answer = truthful(call.job.id, call.may_have_run, std::move(answer));
     switch (row_of(answer.kind).result)
     {
     case outcome::complete:
--- a/src/pool/entry.hpp
+++ b/src/pool/entry.hpp
@@ -35,7 +35,7 @@
 class entry
 {
 public:
-    entry(entry_settings settings, members& peers, worker_pool& own);
+    entry(entry_settings settings, members& peers, worker_pool& own, const started_jobs& started);
 
     // A job that a caller handed in; the answer comes once, as an action.
     void submit(instant now, std::uint64_t call, job_request job, action_list& out);
@@ -49,6 +49,8 @@
     void on_own_result(microseconds now, const pool_result& result, action_list& out);
     void tick(microseconds now, action_list& out);
 
+    // The answer as it may be given: "not run" only of a job that has started nowhere lately.
+    call_answer truthful(const std::string& job, bool may_have_run, call_answer answer) const;
     // True if some pool in reach has workers.
     bool can_place(microseconds now) const;
     // From now on jobs go to other pools, if there are any.
@@ -76,8 +78,7 @@
         std::uint64_t call = 0;
         job_request job;
         microseconds arrived{0};
-        microseconds sent{0}; // to its present pool
-        std::string pool;     // empty: this host's own
+        std::string pool; // empty: this host's own
         host_ref pool_ref;
         std::set<std::string> tried;
         std::int64_t cpu = 0;
@@ -85,7 +86,8 @@
         // The pool's host has gone while it had the job: what it held, and when its runs are surely
         // over.
         bool orphan = false;
-        bool may_have_run = false; // in an earlier pool, or for an earlier call: no "not run" then
+        // In an earlier pool, or for an earlier call at this host: no "not run" then.
+        bool may_have_run = false;
         std::vector<std::string> former;
         microseconds over_at{0};
     };
@@ -114,6 +116,7 @@
     entry_settings m_settings;
     members& m_peers;
     worker_pool& m_own;
+    const started_jobs& m_started;
     std::map<std::uint64_t, open_call> m_calls;
     std::map<std::string, std::uint64_t> m_by_job;
     // Room promised away since a peer's last load report.
--- a/src/pool/held_worker.cpp
+++ b/src/pool/held_worker.cpp
@@ -261,7 +261,7 @@
     if (reply.born_ms != 0)
         m_born = reply.born_ms;
     for (const auto& line : reply.running)
-        note_running(now, line);
+        note_running(now, line, events);
     for (const auto& line : reply.ended)
         note_ended(line, now, events);
     settle_absent(now, order, reply, events);
@@ -322,7 +322,7 @@
     }
 }
 
-void held_worker::note_running(microseconds now, const running_line& line)
+void held_worker::note_running(microseconds now, const running_line& line, worker_events& events)
 {
     auto [entry, fresh] = m_runs.try_emplace(line.run);
     auto& state = entry->second;
@@ -331,6 +331,7 @@
         state.view.run = line.run;
         state.view.sent = now;
         state.foreign = true;
+        events.push_back({worker_event_kind::found, m_entry.id, line.run, {}, {}, {}});
     }
     if (state.at == stage::starting)
     {
@@ -348,7 +349,7 @@
     m_ends_seen = line.number;
     const auto entry = m_runs.find(line.run);
     if (entry == m_runs.end())
-        return;
+        return events.push_back({worker_event_kind::found, m_entry.id, line.run, line.end, {}, {}});
     const bool ours = !entry->second.foreign;
     const auto ran = now - entry->second.view.sent;
     drop(entry);
--- a/src/pool/held_worker.hpp
+++ b/src/pool/held_worker.hpp
@@ -36,9 +36,10 @@
     taken,       // the worker accepted this host as its holder
     not_started, // this run has not started and never will
     ended,
-    lost // another host holds the worker, or its lifetime is over; its runs are not ours any more
+    found, // a run that this host did not start runs, or has ended, on the worker
+    lost   // another host holds the worker, or its lifetime is over; its runs are not ours any more
 };
-BOOST_DESCRIBE_ENUM(worker_event_kind, taken, not_started, ended, lost)
+BOOST_DESCRIBE_ENUM(worker_event_kind, taken, not_started, ended, found, lost)
 
 struct worker_event
 {
@@ -140,7 +141,7 @@
                  worker_events& events);
     void on_start(microseconds now, const open_order& order, const worker_reply& reply,
                   worker_events& events);
-    void note_running(microseconds now, const running_line& line);
+    void note_running(microseconds now, const running_line& line, worker_events& events);
     void note_ended(const ended_line& line, microseconds now, worker_events& events);
     void settle_absent(microseconds now, const open_order& order, const worker_reply& reply,
                        worker_events& events);
--- a/src/pool/members.cpp
+++ b/src/pool/members.cpp
@@ -122,6 +122,8 @@
         for (const auto& worker : about.held)
             beat.add_held(worker);
     }
+    if (about.started != nullptr)
+        about.started->announce(to.echo_sent, *beat.mutable_started());
     out.push_back(std::move(message));
 }
 
--- a/src/pool/members.hpp
+++ b/src/pool/members.hpp
@@ -8,7 +8,7 @@
 // came back. Work done for a peer's callers is tied to that age, since a peer that hears nothing
 // has told its callers to come back elsewhere.
 
-#include "pool/pool_types.hpp"
+#include "pool/started_jobs.hpp"
 #include <deque>
 #include <set>
 
@@ -91,6 +91,7 @@
         load_report load;
         std::uint64_t held_version = 0;
         std::vector<std::string> held;
+        const started_jobs* started = nullptr; // null: none are announced
     };
     // Sends the heartbeats that are due; `announce` is asked only then.
     void tick(microseconds now, const std::function<announcement()>& announce, action_list& out);
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -187,7 +187,8 @@
         task.stage = task_stage::placed;
         task.worker = record->worker.entry().id;
         --job.waiting;
-        ++job.starts;
+        if (job.starts++ == 0)
+            m_start_notes.started.push_back(job.request.id);
         ++m_totals.starts;
         record->worker.start(now, run, job.request.steps[task.step].need, job.request.payload,
                              m_next_request, out);
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -13,14 +13,14 @@
     : m_settings(std::move(settings)), m_members(m_settings.members),
       m_pool(m_settings.workers, m_settings.members.self.incarnation ^
                                      std::hash<std::string>{}(m_settings.members.self.name)),
-      m_entry(
-          [this]
-          {
-              auto about = m_settings.entry;
-              about.data_centre = m_settings.members.data_centre;
-              return about;
-          }(),
-          m_members, m_pool)
+      m_started(m_settings.started), m_entry(
+                                         [this]
+                                         {
+                                             auto about = m_settings.entry;
+                                             about.data_centre = m_settings.members.data_centre;
+                                             return about;
+                                         }(),
+                                         m_members, m_pool, m_started)
 {
     m_pool.set_visibility(
         [this](const caller_ref& caller)
@@ -100,7 +100,8 @@
                                          {m_pool.free_cpu(now.steady), m_pool.total_cpu(now.steady),
                                           m_pool.expected_wait(now.steady)},
                                          m_pool.held_version(),
-                                         m_pool.held()};
+                                         m_pool.held(),
+                                         &m_started};
         },
         out);
     m_pool.cancel_callers(
@@ -241,12 +242,15 @@
 {
     if (too_large(job))
     {
-        out.push_back(actions::log_event{
-            true, "event=answered job=" + job.id + " route=" + job.terms.route +
-                      " outcome=no_worker_fits pool=none detail=\"larger than every worker\""});
-        out.push_back(actions::answer_call{
-            call, {answer_kind::no_worker_fits, m_settings.workers.least_retry_after, {}}});
-        return;
+        const auto answer =
+            m_entry.truthful(job.id, false,
+                             {answer_kind::no_worker_fits, m_settings.workers.least_retry_after,
+                              "larger than every worker"});
+        out.push_back(actions::log_event{true, "event=answered job=" + job.id +
+                                                   " route=" + job.terms.route +
+                                                   " outcome=" + std::string(name_of(answer.kind)) +
+                                                   " pool=none detail=\"" + answer.detail + '"'});
+        return out.push_back(actions::answer_call{call, answer});
     }
     m_entry.submit(now, call, std::move(job), out);
     pass_results(now, out);
@@ -276,8 +280,18 @@
     stamp(out);
 }
 
+void pool_host::note_starts(instant now)
+{
+    const auto notes = m_pool.take_start_notes();
+    for (const auto& job : notes.started)
+        m_started.note(now.steady, job);
+    for (const auto& job : notes.not_started)
+        m_started.withdraw(job);
+}
+
 void pool_host::pass_results(instant now, action_list& out)
 {
+    note_starts(now);
     // Settling one call may hand its job to the own pool again, which may end more.
     for (auto results = m_pool.take_results(); !results.empty(); results = m_pool.take_results())
         for (const auto& result : results)
@@ -343,6 +357,7 @@
     {
     case wire::PeerMessage::kPoolBeat:
     {
+        m_started.note_heard(now.steady, message.pool_beat().started());
         const auto* host = m_members.on_beat(now.steady, from, message.pool_beat(), out);
         if (host != nullptr && m_config && host->config_version < m_config->version)
             offer_config(from, out);
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -24,6 +24,7 @@
     worker_pool_settings workers;
     entry_settings entry; // data_centre is filled in
     steward_settings steward;
+    started_jobs_settings started;
     milliseconds steward_every{40};
     // A worker of another data centre is taken only after it could be reached for this long while
     // no host announced it: when a cut heals, its holder's heartbeats come within that time.
@@ -82,6 +83,7 @@
     bool may_try(const std::string& worker, instant now);
     void judge_trials(instant now);
     bool may_take(const worker_entry& entry, instant now, action_list& out);
+    void note_starts(instant now);
     void pass_results(instant now, action_list& out);
     void on_pool_job(instant now, const host_ref& from, const wire::PoolJob& message,
                      action_list& out);
@@ -100,6 +102,7 @@
     microseconds m_next_trial{0};
     members m_members;
     worker_pool m_pool;
+    started_jobs m_started;
     entry m_entry;
     microseconds m_next_steward{0};
     std::uint64_t m_announced = 0; // the held_version at the last round of the steward
--- /dev/null
+++ b/src/pool/started_jobs.hpp
@@ -0,0 +1,88 @@
+#ifndef EGRETLEDGE_POOL_STARTED_JOBS_HPP
+#define EGRETLEDGE_POOL_STARTED_JOBS_HPP
+
+// Which jobs may have started anywhere lately, so that "not run" is never said of one of them.
+//
+// A caller that lost its connection submits its job again at any host, and that host may have to
+// refuse it. The host which ran the first submission announces each job in its heartbeats, from the
+// first start on until the receiver has echoed a heartbeat that came later; a host that takes over
+// a dead one's workers announces what it finds on them. So the news takes one heartbeat, while a
+// caller comes back a second later.
+//
+// Jobs are kept as 64-bit hashes, 8 bytes each on the wire. Two jobs that share a hash cost one of
+// them an honest "unknown" instead of "not run". The trade-off: every host hears of every job,
+// which is some kilobytes a second at a few thousand jobs a second; asking all hosts before each
+// refusal would cost most when hosts are busiest.
+
+#include "pool/pool_types.hpp"
+#include <boost/unordered/unordered_flat_set.hpp>
+#include <deque>
+
+namespace egretledge::pool
+{
+
+struct started_jobs_settings
+{
+    // A job is known for this long to twice as long. Callers wait 1.5 s and come back 1.3 s later,
+    // and some come back seconds after their answer.
+    milliseconds remember{10000};
+    // The most jobs in one heartbeat (32 KB); a receiver that is further behind was cut off.
+    std::size_t most_announced = 4096;
+    // The most jobs that are kept (16 MB): 10 s of 100,000 jobs a second.
+    std::size_t most_known = 1'000'000;
+};
+
+class started_jobs
+{
+public:
+    explicit started_jobs(started_jobs_settings settings) : m_settings(settings) {}
+
+    // A start of this job was sent from here, or a run of it was found on a worker.
+    void note(microseconds now, const std::string& job);
+    // The start that the latest note was for had no effect. If no other note of the job stands, it
+    // is not announced any more; who heard of it already keeps it.
+    void withdraw(const std::string& job);
+    // A peer announced these hashes.
+    template <class Hashes>
+    void note_heard(microseconds now, const Hashes& hashes)
+    {
+        make_room(now);
+        m_known.insert(hashes.begin(), hashes.end());
+    }
+    bool may_have_started(const std::string& job) const;
+
+    // Appends to `out` what was noted at or after `since`, the newest first, up to the limit.
+    template <class Field>
+    void announce(microseconds since, Field& out) const
+    {
+        std::size_t left = m_settings.most_announced;
+        for (auto entry = m_own.rbegin(); entry != m_own.rend() && left > 0; ++entry, --left)
+        {
+            if (entry->when < since)
+                return;
+            out.Add(entry->hash);
+        }
+    }
+    std::size_t known() const { return m_known.size() + m_older.size(); }
+
+private:
+    struct own_note
+    {
+        microseconds when{0};
+        std::uint64_t hash = 0;
+        std::uint32_t notes = 1; // by submissions of the same job
+    };
+    std::deque<own_note>::reverse_iterator find_own(std::uint64_t hash);
+    // Begins a new generation when the present one is old or full.
+    void make_room(microseconds now);
+
+    started_jobs_settings m_settings;
+    boost::unordered_flat_set<std::uint64_t> m_known;
+    boost::unordered_flat_set<std::uint64_t> m_older;
+    microseconds m_generation{0};
+    std::deque<own_note> m_own;
+};
+
+} // namespace egretledge::pool
+
+#endif
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -359,6 +359,8 @@
     }
     if (event.kind == worker_event_kind::lost)
         return on_lost(now, event, out);
+    if (event.kind == worker_event_kind::found)
+        return m_start_notes.started.push_back(event.run.task.job);
     const auto former = m_former.find(event.run.task.job);
     if (former != m_former.end() && former->second.erase(event.run) > 0)
     {
@@ -381,7 +383,8 @@
         return;
     task->stage = task_stage::waiting;
     ++job->waiting;
-    --job->starts;
+    if (--job->starts == 0)
+        m_start_notes.not_started.push_back(job->request.id);
     out.push_back(actions::log_event{true, "event=start_refused run=" + text_of(event.run) +
                                                " worker=" + event.worker +
                                                " reason=" + std::string(name_of(event.reason))});
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -101,6 +101,14 @@
     // Workers that were lost since the last call: another host took them, or their lifetime is
     // over.
     std::vector<std::string> take_losses() { return std::exchange(m_losses, {}); }
+    // Jobs of which a first start was sent, or a run was found on a worker, since the last call;
+    // and those whose starts were all proven to have had no effect.
+    struct start_notes
+    {
+        std::vector<std::string> started;
+        std::vector<std::string> not_started;
+    };
+    start_notes take_start_notes() { return std::exchange(m_start_notes, {}); }
     std::vector<pool_result> take_results() { return std::exchange(m_results, {}); }
 
     // Load as announced to other hosts.
@@ -216,6 +224,7 @@
     std::function<std::uint64_t(const caller_ref&)> m_visible;
     std::map<std::string, reach> m_probes;
     std::vector<std::string> m_losses;
+    start_notes m_start_notes;
     std::map<std::string, open_job> m_jobs;
     // Runs of ended jobs that are not over yet, by job: a new submission of the id waits for them.
     std::map<std::string, std::set<run_ref>> m_former;
