--- /dev/null
+++ b/src/io/edge_metrics.cpp
@@ -0,0 +1,198 @@
+#include "io/edge_metrics.hpp"
+#include "core/check.hpp"
+#include <array>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace egretledge
+{
+
+namespace
+{
+
+// Upper bounds in seconds: around one trip to a worker, tasks of 60 to 900 ms, and the longest wait
+// of a caller.
+const prometheus::Histogram::BucketBoundaries buckets{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
+                                                      0.2,   0.35,  0.5,   0.75, 1.0,  1.5,  2.5};
+constexpr double us_per_s = 1e6;
+
+struct latency_row
+{
+    latency what;
+    const char* name;
+    const char* label;
+    const char* value;
+    const char* help;
+};
+constexpr const char* call_help = "A call, from its last byte to its answer";
+constexpr const char* order_help = "An order to a worker, to its answer or time-out";
+constexpr std::array latency_rows{
+    latency_row{latency::call_complete, "egretledge_call_seconds", "outcome", "complete",
+                call_help},
+    latency_row{latency::call_failed, "egretledge_call_seconds", "outcome", "failed", call_help},
+    latency_row{latency::call_not_run, "egretledge_call_seconds", "outcome", "not_run", call_help},
+    latency_row{latency::call_unknown, "egretledge_call_seconds", "outcome", "unknown", call_help},
+    latency_row{latency::start_order, "egretledge_order_seconds", "order", "start", order_help},
+    latency_row{latency::stop_order, "egretledge_order_seconds", "order", "stop", order_help},
+    latency_row{latency::store_call, "egretledge_store_seconds", "call", "short",
+                "A call to the platform's store that does not wait for a change"}};
+
+struct call_count_row
+{
+    const char* kind;
+    std::uint64_t pool::entry::totals::*value;
+};
+constexpr std::array call_count_rows{
+    call_count_row{"calls", &pool::entry::totals::calls},
+    call_count_row{"complete", &pool::entry::totals::complete},
+    call_count_row{"failed", &pool::entry::totals::failed},
+    call_count_row{"refused", &pool::entry::totals::refused},
+    call_count_row{"unknown", &pool::entry::totals::unknown},
+    call_count_row{"caller_gone", &pool::entry::totals::gone},
+    call_count_row{"sent_away", &pool::entry::totals::away},
+    call_count_row{"placed_anew", &pool::entry::totals::placed_anew}};
+
+struct pool_count_row
+{
+    const char* kind;
+    std::uint64_t pool::worker_pool::totals::*value;
+};
+constexpr std::array pool_count_rows{
+    pool_count_row{"starts", &pool::worker_pool::totals::starts},
+    pool_count_row{"tasks_done", &pool::worker_pool::totals::done},
+    pool_count_row{"tasks_failed", &pool::worker_pool::totals::failed},
+    pool_count_row{"runs_wasted", &pool::worker_pool::totals::wasted},
+    pool_count_row{"orders_in_doubt", &pool::worker_pool::totals::doubts},
+    pool_count_row{"workers_lost", &pool::worker_pool::totals::lost_workers}};
+
+struct process_count_row
+{
+    const char* kind;
+    std::uint64_t process_counts::*value;
+};
+constexpr std::array process_count_rows{
+    process_count_row{"store_calls", &process_counts::store_calls},
+    process_count_row{"peer_messages_dropped", &process_counts::peer_messages_dropped},
+    process_count_row{"log_lines_dropped", &process_counts::log_lines_dropped}};
+
+struct gauge_row
+{
+    const char* name;
+    const char* help;
+    double (*value)(const pool::pool_host& host, instant now);
+};
+constexpr std::array gauge_rows{
+    gauge_row{"egretledge_ready", "1 if the balancer may send calls",
+              [](const pool::pool_host& host, instant now) { return host.ready(now) ? 1.0 : 0.0; }},
+    gauge_row{"egretledge_config_version", "Version in force",
+              [](const pool::pool_host& host, instant)
+              { return host.config() ? static_cast<double>(host.config()->version) : 0.0; }},
+    gauge_row{"egretledge_open_calls", "Calls not answered yet",
+              [](const pool::pool_host& host, instant)
+              { return static_cast<double>(host.calls().open_calls()); }},
+    gauge_row{"egretledge_pool_jobs", "Jobs of the own pool",
+              [](const pool::pool_host& host, instant)
+              { return static_cast<double>(host.workers().open_jobs()); }},
+    gauge_row{"egretledge_pool_workers", "Workers held",
+              [](const pool::pool_host& host, instant)
+              { return static_cast<double>(host.workers().held().size()); }},
+    gauge_row{"egretledge_pool_free_cpu", "Free thousandths of a core",
+              [](const pool::pool_host& host, instant now)
+              { return static_cast<double>(host.workers().free_cpu(now.steady)); }},
+    gauge_row{"egretledge_pool_wait_ms", "Expected wait of a new task",
+              [](const pool::pool_host& host, instant now)
+              { return static_cast<double>(host.workers().expected_wait(now.steady).count()); }},
+    gauge_row{"egretledge_started_jobs_known", "Jobs that are known to have started lately",
+              [](const pool::pool_host& host, instant)
+              { return static_cast<double>(host.started().known()); }}};
+
+} // namespace
+
+latency latency_of(answer_kind kind)
+{
+    switch (row_of(kind).result)
+    {
+    case outcome::complete:
+        return latency::call_complete;
+    case outcome::failed:
+        return latency::call_failed;
+    case outcome::not_run:
+        return latency::call_not_run;
+    default:
+        return latency::call_unknown;
+    }
+}
+
+struct edge_metrics::instruments
+{
+    prometheus::Registry registry;
+    std::array<prometheus::Histogram*, latency_rows.size()> histograms{};
+    std::array<prometheus::Gauge*, gauge_rows.size()> gauges{};
+    prometheus::Gauge* store_reachable = nullptr;
+    std::map<std::string, prometheus::Counter*> counters;
+};
+
+edge_metrics::edge_metrics() : m_instruments(std::make_unique<instruments>())
+{
+    auto& registry = m_instruments->registry;
+    for (std::size_t i = 0; i < latency_rows.size(); ++i)
+    {
+        const auto& row = latency_rows[i];
+        EGRET_CHECK(static_cast<std::size_t>(row.what) == i, "a row for each latency, in order");
+        auto& family =
+            prometheus::BuildHistogram().Name(row.name).Help(row.help).Register(registry);
+        m_instruments->histograms[i] = &family.Add({{row.label, row.value}}, buckets);
+    }
+    const auto gauge = [&](const char* name, const char* help)
+    { return &prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({}); };
+    for (std::size_t i = 0; i < gauge_rows.size(); ++i)
+        m_instruments->gauges[i] = gauge(gauge_rows[i].name, gauge_rows[i].help);
+    m_instruments->store_reachable =
+        gauge("egretledge_store_reachable", "1 if the platform's store answered last");
+    auto& events = prometheus::BuildCounter()
+                       .Name("egretledge_events_total")
+                       .Help("What this process did; see docs/OPERATIONS.md")
+                       .Register(registry);
+    const auto add = [&](const auto& rows)
+    {
+        for (const auto& row : rows)
+            m_instruments->counters[row.kind] = &events.Add({{"kind", row.kind}});
+    };
+    add(call_count_rows);
+    add(pool_count_rows);
+    add(process_count_rows);
+}
+
+edge_metrics::~edge_metrics() = default;
+
+void edge_metrics::observe(latency what, microseconds took)
+{
+    m_instruments->histograms.at(static_cast<std::size_t>(what))
+        ->Observe(static_cast<double>(took.count()) / us_per_s);
+}
+
+std::string edge_metrics::text(const pool::pool_host& host, instant now,
+                               const process_counts& process)
+{
+    for (std::size_t i = 0; i < gauge_rows.size(); ++i)
+        m_instruments->gauges[i]->Set(gauge_rows[i].value(host, now));
+    m_instruments->store_reachable->Set(process.store_reachable ? 1 : 0);
+    // The logic keeps the totals; the counters only show them.
+    const auto show = [&](const auto& rows, const auto& totals)
+    {
+        for (const auto& row : rows)
+        {
+            auto& counter = *m_instruments->counters.at(row.kind);
+            counter.Increment(static_cast<double>(totals.*row.value) - counter.Value());
+        }
+    };
+    show(call_count_rows, host.calls().counts());
+    show(pool_count_rows, host.workers().counts());
+    show(process_count_rows, process);
+    return prometheus::TextSerializer().Serialize(m_instruments->registry.Collect());
+}
+
+} // namespace egretledge
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -387,13 +387,32 @@
 
 void pool_host::begin_stop(instant now, action_list& out)
 {
-    m_leaving = true;
+    if (std::exchange(m_leaving, true))
+        return;
+    m_leaving_since = now.steady;
     m_entry.close_own_pool();
     m_pool.give_back_waiting(now.steady, out);
     pass_results(now, out);
     stamp(out);
 }
 
+stop_stage pool_host::stop_progress(microseconds now) const
+{
+    if (!m_leaving)
+        return stop_stage::serving;
+    const auto passed = now - m_leaving_since;
+    if (stopped() && passed >= m_settings.balancer_lag)
+        return stop_stage::done;
+    if (passed <= m_settings.stop_limit - m_settings.last_answers)
+        return stop_stage::ending;
+    return stopped() ? stop_stage::done : stop_stage::overdue;
+}
+
+bool pool_host::takes_jobs(microseconds now) const
+{
+    return !m_leaving || now - m_leaving_since <= m_settings.stop_limit / 2;
+}
+
 bool pool_host::stopped() const
 {
     return m_leaving && m_entry.idle() && m_pool.quiet();
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -44,8 +44,25 @@
     // A vanished worker may be missing from the registry for about 2 s after an outage of the
     // store.
     milliseconds vanish_grace{2500};
+    // A stop that takes longer than this ends all the same.
+    milliseconds stop_limit{5500};
+    // The balancer sends callers for this long after this host said that it is not ready: two
+    // missed checks a second apart, and a margin.
+    milliseconds balancer_lag{2500};
+    // Before the limit of a stop, for the last answers to leave.
+    milliseconds last_answers{300};
 };
 
+// How far a planned stop has come.
+enum class stop_stage : std::uint8_t
+{
+    serving, // none was asked for
+    ending,  // what was accepted is being ended; callers that still come are served by other pools
+    done,    // nothing is left to do, and no caller comes any more
+    overdue  // the limit has passed with work left
+};
+BOOST_DESCRIBE_ENUM(stop_stage, serving, ending, done, overdue)
+
 class pool_host
 {
 public:
@@ -68,6 +85,9 @@
                                        action_list& out);
 
     void begin_stop(instant now, action_list& out);
+    stop_stage stop_progress(microseconds now) const;
+    // False if a job taken now might not end before the process has to.
+    bool takes_jobs(microseconds now) const;
     // Nothing is left to do for a caller or on a worker.
     bool stopped() const;
     bool leaving() const { return m_leaving; }
@@ -76,6 +96,7 @@
     const worker_pool& workers() const { return m_pool; }
     const entry& calls() const { return m_entry; }
     const members& hosts() const { return m_members; }
+    const started_jobs& started() const { return m_started; }
 
 private:
     void take_and_yield(instant now, action_list& out);
@@ -107,6 +128,7 @@
     microseconds m_next_steward{0};
     std::uint64_t m_announced = 0; // the held_version at the last round of the steward
     bool m_leaving = false;
+    microseconds m_leaving_since{0};
 };
 
 } // namespace egretledge::pool
--- /dev/null
+++ b/tests/edge_test.cpp
@@ -0,0 +1,68 @@
+#define BOOST_TEST_MODULE edge
+#include "io/edge_metrics.hpp"
+#include <boost/test/unit_test.hpp>
+
+using namespace egretledge;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+pool::pool_host a_host()
+{
+    pool::pool_host_settings settings;
+    settings.members.self = {"h1", 1};
+    settings.members.data_centre = "dc1";
+    return pool::pool_host(settings);
+}
+
+bool has_line(const std::string& text, const std::string& line)
+{
+    return ("\n" + text).find("\n" + line + "\n") != std::string::npos;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(latencies_fall_into_the_bucket_of_their_own_histogram)
+{
+    edge_metrics metrics;
+    metrics.observe(latency::call_complete, 60ms);
+    metrics.observe(latency::call_complete, 900ms);
+    metrics.observe(latency::start_order, 3ms);
+    const auto text = metrics.text(a_host(), {10s, 1000ms}, {});
+    BOOST_TEST(has_line(text, R"(egretledge_call_seconds_bucket{outcome="complete",le="0.05"} 0)"));
+    BOOST_TEST(has_line(text, R"(egretledge_call_seconds_bucket{outcome="complete",le="0.1"} 1)"));
+    BOOST_TEST(has_line(text, R"(egretledge_call_seconds_bucket{outcome="complete",le="1"} 2)"));
+    BOOST_TEST(has_line(text, R"(egretledge_call_seconds_count{outcome="not_run"} 0)"));
+    BOOST_TEST(has_line(text, R"(egretledge_order_seconds_bucket{order="start",le="0.005"} 1)"));
+    BOOST_TEST(has_line(text, R"(egretledge_order_seconds_count{order="stop"} 0)"));
+}
+
+BOOST_AUTO_TEST_CASE(counters_show_the_totals_each_time_they_are_asked_for)
+{
+    edge_metrics metrics;
+    auto host = a_host();
+    pool::action_list out;
+    const auto calls = [](int count)
+    { return "egretledge_events_total{kind=\"calls\"} " + std::to_string(count); };
+    BOOST_TEST(has_line(metrics.text(host, {10s, 1000ms}, {}), calls(0)));
+    pool::job_request job;
+    job.id = "0123456789abcdef";
+    job.steps.push_back({});
+    job.steps.back().count = 1;
+    host.on_job({10s, 1000ms}, 1, job, out);
+    BOOST_TEST(has_line(metrics.text(host, {10s, 1000ms}, {}), calls(1)));
+    const auto text = metrics.text(host, {10s, 1000ms}, {true, 7, 2, 5});
+    BOOST_TEST(has_line(text, calls(1)));
+    BOOST_TEST(has_line(text, R"(egretledge_events_total{kind="store_calls"} 7)"));
+    BOOST_TEST(has_line(text, R"(egretledge_events_total{kind="log_lines_dropped"} 5)"));
+    BOOST_TEST(has_line(text, "egretledge_store_reachable 1"));
+}
+
+BOOST_AUTO_TEST_CASE(every_outcome_of_an_answer_has_its_latency)
+{
+    BOOST_TEST((latency_of(answer_kind::ok) == latency::call_complete));
+    BOOST_TEST((latency_of(answer_kind::worker_lost) == latency::call_failed));
+    BOOST_TEST((latency_of(answer_kind::over_capacity) == latency::call_not_run));
+    BOOST_TEST((latency_of(answer_kind::recovering) == latency::call_unknown));
+}
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -87,7 +87,7 @@
                         {[&](pool::route_config config) { versions.push_back(config.version); },
                          [](pool::worker_registry) {},
                          [](const std::string&, const host_record&) {},
-                         [](bool, const std::string&) {}});
+                         [](bool, const std::string&) {}, [](microseconds) {}});
     client.start();
     const auto begin = std::chrono::steady_clock::now();
     const auto passed = [&]
--- a/tests/pool_world_test.cpp
+++ b/tests/pool_world_test.cpp
@@ -113,6 +113,33 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_stop_waits_for_the_balancer_and_ends_at_its_limit)
+{
+    pool_host_settings settings;
+    settings.members.self = {"h1", 1};
+    settings.stop_limit = 6000ms;
+    pool_host host(settings);
+    action_list out;
+    BOOST_TEST((host.stop_progress(at_ms(500)) == stop_stage::serving));
+    host.begin_stop({at_ms(1000), 1000ms}, out);
+    host.begin_stop({at_ms(2000), 2000ms}, out); // a second signal does not prolong it
+    BOOST_TEST((host.stop_progress(at_ms(3400)) == stop_stage::ending));
+    BOOST_TEST((host.stop_progress(at_ms(3600)) == stop_stage::done));
+    BOOST_TEST(host.takes_jobs(at_ms(3900)));
+    BOOST_TEST(!host.takes_jobs(at_ms(4100)));
+    // A caller still waits for a pool.
+    job_request job;
+    job.id = "late";
+    job.steps.push_back({});
+    job.steps.back().count = 1;
+    job.steps.back().estimate = 100ms;
+    job.terms = {"r", "desk", 0, 3, 1.6, 60ms, 60000ms};
+    host.on_job({at_ms(3900), 3900ms}, 1, job, out);
+    BOOST_REQUIRE(!host.stopped());
+    BOOST_TEST((host.stop_progress(at_ms(6600)) == stop_stage::ending));
+    BOOST_TEST((host.stop_progress(at_ms(6800)) == stop_stage::overdue));
+}
+
 BOOST_AUTO_TEST_CASE(a_dead_hosts_workers_run_again_within_a_second)
 {
     pool_world world({});
