--- a/src/core/recovery.cpp
+++ b/src/core/recovery.cpp
@@ -16,8 +16,8 @@
 {
 
 constexpr milliseconds host_skew{500};
-constexpr microseconds first_backoff = milliseconds{100};
-constexpr microseconds longest_backoff = milliseconds{2000};
+constexpr microseconds first_question_pause = milliseconds{100};
+constexpr microseconds longest_question_pause = milliseconds{2000};
 constexpr microseconds ask_again_after = milliseconds{50};
 
 int rank_of(record_state state)
@@ -190,8 +190,8 @@
         auto& state = found->second.workers[worker];
         state.asked = false;
         state.backoff = state.backoff == microseconds{0}
-                            ? first_backoff
-                            : std::min(2 * state.backoff, longest_backoff);
+                            ? first_question_pause
+                            : std::min(2 * state.backoff, longest_question_pause);
         state.ask_after = now.steady + state.backoff;
     }
 }
