The plan of places reads no step that a later submission lacks

Cause: found by reading. A caller may leave and submit its id again with fewer steps while the former runs are being stopped; the plan looked up such a run's step in the new job, past its end.

Change: the step is checked; such a run takes its place for the 50 ms that a stop may take. Test: pool_test, which ASan sees fail without the check.

--- a/src/pool/admission.cpp
+++ b/src/pool/admission.cpp
@@ -79,7 +79,9 @@
         for (const auto& view : runs)
         {
             auto left = microseconds{unknown_run};
-            if (const auto job = m_jobs.find(view.run.task.job); job != m_jobs.end())
+            const auto job = m_jobs.find(view.run.task.job);
+            // A run of an earlier submission of the id may be of a step that this one lacks.
+            if (job != m_jobs.end() && view.run.task.step < job->second.request.steps.size())
             {
                 const auto& request = job->second.request;
                 const microseconds time = expected(request, request.steps[view.run.task.step]);
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -161,6 +161,36 @@
     BOOST_TEST(notes.not_started.empty());
 }
 
+// A caller leaves, and submits the id again with fewer steps while its former runs are being
+// stopped.
+BOOST_AUTO_TEST_CASE(runs_of_a_step_that_a_later_submission_lacks_take_their_place_until_they_end)
+{
+    worker_pool pool({}, 9);
+    action_list out;
+    pool.take({at_ms(1), milliseconds{1000}}, an_entry("w1"), out);
+    pool.on_worker(at_ms(3), std::get<actions::hold_worker>(out.front()).request,
+                   by_hand::accepted(5000), out);
+    job_request job;
+    job.id = "again";
+    job.terms = {"r", "desk", 0, 3, 1.6, 60ms, 3000ms};
+    job.steps.resize(2);
+    for (auto& step : job.steps)
+    {
+        step.count = 1;
+        step.need = a_task;
+        step.estimate = 100ms;
+    }
+    const caller_ref first{{}, 0, 1};
+    pool.submit(at_ms(4), job, first, 0ms, out);
+    BOOST_REQUIRE(pool.counts().starts == 2U);
+    pool.cancel(at_ms(10), job.id, first, out);
+    job.steps.resize(1);
+    pool.submit(at_ms(11), job, {{}, 0, 2}, 0ms, out);
+    BOOST_TEST(pool.open_jobs() == 1U);
+    BOOST_TEST(pool.expected_wait(at_ms(12)).count() < 200);
+    BOOST_TEST(pool.counts().starts == 2U); // nothing of it starts beside the former runs
+}
+
 BOOST_AUTO_TEST_CASE(runs_on_a_silent_worker_end_only_when_their_lease_surely_has)
 {
     by_hand test;
