--- a/harness/pool_soak_main.cpp
+++ b/harness/pool_soak_main.cpp
@@ -5,8 +5,8 @@
 // Without --first it draws a first seed and prints it. Exit code 1 if a rule was broken.
 
 #include "harness/pool_schedule.hpp"
+#include "harness/seeds.hpp"
 #include "io/command_line.hpp"
-#include <random>
 
 int main(int argc, char** argv)
 {
@@ -20,9 +20,7 @@
     po::variables_map given;
     if (const auto code = egretledge::read_options(argc, argv, options, given))
         return *code;
-    if (first == 0)
-        first = std::random_device{}() + 1ULL;
-    std::cout << "first seed " << first << '\n';
+    first = egretledge::harness::first_seed(first);
     std::size_t calls = 0;
     std::size_t complete = 0;
     std::size_t starts = 0;
--- a/harness/failed_seeds.cpp
+++ b/harness/seeds.cpp
@@ -1,5 +1,7 @@
-#include "harness/failed_seeds.hpp"
+#include "harness/seeds.hpp"
 #include <fstream>
+#include <iostream>
+#include <random>
 #include <sstream>
 #include <stdexcept>
 
@@ -29,4 +31,11 @@
     return seeds;
 }
 
+std::uint64_t first_seed(std::uint64_t given)
+{
+    const auto first = given != 0 ? given : std::random_device{}() + 1ULL;
+    std::cout << "first seed " << first << '\n';
+    return first;
+}
+
 } // namespace egretledge::harness
--- a/harness/soak_main.cpp
+++ b/harness/soak_main.cpp
@@ -7,10 +7,10 @@
 // and recovered, else with 1.
 
 #include "harness/schedule.hpp"
+#include "harness/seeds.hpp"
 #include "io/command_line.hpp"
 #include <atomic>
 #include <mutex>
-#include <random>
 #include <thread>
 
 using namespace egretledge::harness;
@@ -64,9 +64,7 @@
     po::variables_map given;
     if (const auto code = egretledge::read_options(argc, argv, options, given))
         return *code;
-    if (first == 0)
-        first = std::random_device{}() + 1ULL;
-    std::cout << "first seed " << first << '\n';
+    first = first_seed(first);
     const auto broken =
         given.contains("unsafe-workers") ? sabotage::workers_ignore_fences : sabotage::none;
     const bool trace = given.contains("trace");
--- a/src/io/codec.hpp
+++ b/src/io/codec.hpp
@@ -47,8 +47,6 @@
 // An answer as a caller gets it, with the remedy of its kind.
 std::string answer_to_json(const std::string& key, const wire::Answer& answer);
 
-std::string to_base64(std::string_view bytes);
-expected<std::string> from_base64(std::string_view text);
 // The SHA-256 of a text in lower-case hexadecimal.
 std::string sha256_hex(std::string_view text);
 
--- a/src/pool/admission.cpp
+++ b/src/pool/admission.cpp
@@ -250,12 +250,9 @@
     }
     job.waiting = job.left = static_cast<std::uint32_t>(job.tasks.size());
     const auto& terms = job.request.terms;
-    const auto allowed = std::chrono::duration_cast<microseconds>(job.longest * terms.stretch) +
-                         microseconds{terms.slack};
-    job.objective = job.arrived + allowed;
+    job.objective = job.arrived + time_allowed(terms, job.longest);
     job.give_up = job.arrived + microseconds{terms.wait};
-    const auto refused = judge(now, job);
-    if (refused)
+    if (const auto refused = judge(now, job))
     {
         log_job(job, *refused, now, out);
         m_results.push_back({caller, job.request.id, *refused, true});
--- a/src/pool/entry.cpp
+++ b/src/pool/entry.cpp
@@ -42,14 +42,14 @@
 // How long a job may wait before its first start and still end in time by its own estimate.
 microseconds spare_time(const job_request& job)
 {
-    return std::chrono::duration_cast<microseconds>(longest_of(job) * (job.terms.stretch - 1)) +
-           job.terms.slack;
+    const auto longest = longest_of(job);
+    return time_allowed(job.terms, longest) - longest;
 }
 
 // Until when an answer is of use to the caller.
 microseconds latest_end(const job_request& job, microseconds arrived, double late_factor)
 {
-    const auto objective = spare_time(job) + longest_of(job);
+    const auto objective = time_allowed(job.terms, longest_of(job));
     return arrived + std::min(std::chrono::duration_cast<microseconds>(objective * late_factor),
                               microseconds{job.terms.wait});
 }
@@ -238,8 +238,7 @@
         true, "event=job_orphaned job=" + call.job.id + " pool=" + call.pool + " reason=\"" +
                   answer.detail + "\" former_workers=" + std::to_string(former.size()) +
                   " over_in_ms=" + std::to_string((over_at - now).count() / 1000)});
-    call.tried.clear();
-    call.parked = true;
+    call.park();
     call.orphan = true;
     call.may_have_run = true;
     call.former = std::move(former);
@@ -337,9 +336,7 @@
     if (declined && call.orphan)
     {
         call.retry_at = now + m_settings.orphan_retry;
-        call.tried.clear();
-        call.parked = true;
-        return;
+        return call.park();
     }
     if (declined)
     {
@@ -351,9 +348,7 @@
         // No pool can take it yet, which may change within its time: workers are being taken over.
         if (answer.kind == answer_kind::no_worker_fits && now < wait_limit(now, call))
         {
-            call.tried.clear();
-            call.parked = true;
-            return;
+            return call.park();
         }
     }
     settle(now, number, std::move(answer), out);
--- a/src/pool/entry.hpp
+++ b/src/pool/entry.hpp
@@ -94,6 +94,12 @@
         bool may_have_run = false;
         std::vector<std::string> former;
         microseconds over_at{0};
+        // Waits for a pool; each may be asked again.
+        void park()
+        {
+            tried.clear();
+            parked = true;
+        }
         microseconds retry_at{0}; // an orphan that was declined is not offered again before
     };
 
--- a/src/pool/members.cpp
+++ b/src/pool/members.cpp
@@ -237,32 +237,30 @@
     return past->second;
 }
 
-bool members::cut_off(microseconds now) const
+members::roll members::hosts_of_late(microseconds now, bool with_introduced) const
 {
-    std::size_t lately = 0;
-    std::size_t live = 0;
+    roll hosts;
     for (const auto& [name, host] : m_peers)
     {
-        if (host.heard.count() < 0 || host.leaving || now - host.heard > m_settings.remember_peers)
+        const auto known = with_introduced ? std::max(host.heard, host.introduced) : host.heard;
+        if (known.count() < 0 || host.leaving || now - known > m_settings.remember_peers)
             continue;
-        ++lately;
-        live += alive(name, now) ? 1 : 0;
+        ++hosts.known;
+        hosts.live += alive(name, now) ? 1 : 0;
     }
-    return lately >= 2 && live * 2 < lately;
+    return hosts;
+}
+
+bool members::cut_off(microseconds now) const
+{
+    const auto hosts = hosts_of_late(now, false);
+    return hosts.known >= 2 && hosts.live * 2 < hosts.known;
 }
 
 bool members::knows_of_others(microseconds now) const
 {
-    std::size_t lately = 0;
-    std::size_t live = 0;
-    for (const auto& [name, host] : m_peers)
-    {
-        if (host.leaving || now - std::max(host.heard, host.introduced) > m_settings.remember_peers)
-            continue;
-        ++lately;
-        live += alive(name, now) ? 1 : 0;
-    }
-    return live * 2 >= lately;
+    const auto hosts = hosts_of_late(now, true);
+    return hosts.live * 2 >= hosts.known;
 }
 
 bool members::hears_us(const host_ref& ref, microseconds now) const
--- a/src/pool/members.hpp
+++ b/src/pool/members.hpp
@@ -133,6 +133,14 @@
 private:
     void send_beat(microseconds now, peer& to, const announcement& about, action_list& out);
     microseconds sent_at(std::uint64_t sequence) const;
+    // The hosts that were heard within `remember_peers`, or also those introduced within it, less
+    // those that are leaving; and how many of them are alive.
+    struct roll
+    {
+        std::size_t known = 0;
+        std::size_t live = 0;
+    };
+    roll hosts_of_late(microseconds now, bool with_introduced) const;
 
     members_settings m_settings;
     std::map<std::string, peer> m_peers;
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -1,10 +1,11 @@
 // Jobs wait in one queue. A job of which some tasks have started goes first, since what it has done
 // is lost unless the rest follows; then those that can still end in time, the one that has to start
-// first at the head; late ones run on what is left. Tasks are placed
-// one by one as room comes free, on the worker where the sum of expected time and stranded capacity
-// is smallest: with tasks of two fifths of a worker, pairing a large with a small one keeps more
-// tasks running than spreading them. The trade-off is that a task may go to a slower worker because
-// it fits there better.
+// first at the head; late ones run on what is left.
+//
+// Tasks are placed one by one as room comes free, on the worker where the sum of expected time and
+// stranded capacity is smallest: with tasks of two fifths of a worker, pairing a large with a small
+// one keeps more tasks running than spreading them. The trade-off is that a task may go to a slower
+// worker because it fits there better.
 
 #include "pool/worker_pool.hpp"
 #include <algorithm>
--- a/src/pool/pool_types.hpp
+++ b/src/pool/pool_types.hpp
@@ -91,6 +91,13 @@
     milliseconds wait{0};
 };
 
+// How long after its submission a job whose longest chain takes this long is in time.
+inline microseconds time_allowed(const job_terms& terms, milliseconds longest)
+{
+    return std::chrono::duration_cast<microseconds>(longest * terms.stretch) +
+           microseconds{terms.slack};
+}
+
 struct job_request
 {
     std::string id; // chosen by the caller
--- a/src/pool/routes.hpp
+++ b/src/pool/routes.hpp
@@ -14,7 +14,6 @@
     std::string name;
     std::string host; // of the request's Host header
     std::string path_prefix;
-    milliseconds timeout{0};
     job_terms terms; // `wait` is the route's timeout until a call names its own
 };
 
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -496,12 +496,9 @@
     std::vector<std::string> overdue;
     for (const auto& [id, job] : m_jobs)
     {
-        const auto allowed = job.objective - job.arrived;
-        const auto latest = job.arrived + std::chrono::duration_cast<microseconds>(
-                                              allowed * m_settings.late_factor);
         if (now >= job.give_up)
             overdue.push_back(id);
-        else if (job.starts == 0 && now + job.longest > std::min(latest, job.give_up))
+        else if (job.starts == 0 && now + job.longest > limit_of(job, m_settings.late_factor))
             waiting.push_back(id);
     }
     for (const auto& id : waiting)
--- a/tests/harness_test.cpp
+++ b/tests/harness_test.cpp
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE harness
-#include "harness/failed_seeds.hpp"
 #include "harness/scenario.hpp"
 #include "harness/schedule.hpp"
+#include "harness/seeds.hpp"
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
--- a/tests/pool_world_test.cpp
+++ b/tests/pool_world_test.cpp
@@ -1,7 +1,7 @@
 // Pooled hosts and workers in virtual time: what callers and workers see under load and faults.
 
-#include "harness/failed_seeds.hpp"
 #include "harness/pool_schedule.hpp"
+#include "harness/seeds.hpp"
 #include "tests/pool_helpers.hpp"
 #include <boost/test/unit_test.hpp>
 
