The plan's three readings differ by whom they count, not by copies of the order

The end behind begun jobs was worked out on a copy of all promises and searched for twice; the other two readings were told apart by a flag.

Change: expected_ends takes which promises count. Nothing behaves differently.

--- a/src/pool/admission.cpp
+++ b/src/pool/admission.cpp
@@ -24,15 +24,17 @@
 // The wait that is told while no worker is usable: a takeover of workers takes about that long.
 constexpr milliseconds wait_without_workers{1000};
 
-// When each promise would be kept, in the order given, if `with_new` counts the new job.
+// When each promise would be kept, in the order given, if only those for which `counts` holds take
+// places.
+template <class Counts>
 std::vector<microseconds> expected_ends(const std::vector<promise>& order, place_schedule places,
-                                        microseconds now, bool with_new)
+                                        microseconds now, const Counts& counts)
 {
     std::vector<microseconds> ends;
     for (const auto& one : order)
     {
         auto end = now;
-        if (!one.is_new || with_new)
+        if (counts(one))
             for (const auto& [count, time] : one.tasks)
                 end = std::max(end, places.add(count, time));
         ends.push_back(end);
@@ -40,19 +42,6 @@
     return ends;
 }
 
-// When the new job would end if only begun jobs went before it.
-microseconds end_behind_begun(const std::vector<promise>& order, const place_schedule& places,
-                              microseconds now)
-{
-    std::vector<promise> few;
-    std::copy_if(order.begin(), order.end(), std::back_inserter(few),
-                 [](const promise& one) { return one.begun || one.is_new; });
-    const auto ends = expected_ends(few, places, now, true);
-    return ends[static_cast<std::size_t>(
-        std::find_if(few.begin(), few.end(), [](const promise& one) { return one.is_new; }) -
-        few.begin())];
-}
-
 } // namespace
 
 milliseconds worker_pool::expected(const job_request& job, const job_step& step) const
@@ -181,15 +170,18 @@
                    ? std::nullopt
                    : std::optional{refusal(answer_kind::over_capacity, now, "no usable worker")};
     auto order = promises_with(job, now);
-    auto& fresh =
-        *std::find_if(order.begin(), order.end(), [](const promise& one) { return one.is_new; });
+    const auto fresh = static_cast<std::size_t>(
+        std::find_if(order.begin(), order.end(), [](const promise& one) { return one.is_new; }) -
+        order.begin());
+    const auto ends = [&](const auto& counts)
+    { return expected_ends(order, schedule, now, counts); };
     // Where the runs on the workers alone make it late, refusing it helps nobody, unless late ones
     // have found no room for a while: then it would only wait in vain.
-    if (end_behind_begun(order, schedule, now) > fresh.limit &&
-        now - m_late_reached < m_settings.starved_after)
-        fresh.limit = limit_of(job, m_settings.late_factor);
-    const auto before = expected_ends(order, schedule, now, false);
-    const auto after = expected_ends(order, schedule, now, true);
+    const auto behind_begun = ends([](const promise& one) { return one.begun || one.is_new; });
+    if (behind_begun[fresh] > order[fresh].limit && now - m_late_reached < m_settings.starved_after)
+        order[fresh].limit = limit_of(job, m_settings.late_factor);
+    const auto before = ends([](const promise& one) { return !one.is_new; });
+    const auto after = ends([](const promise&) { return true; });
     for (std::size_t i = 0; i < order.size(); ++i)
     {
         const auto limit = order[i].limit;
