The plan and the placement share one order

The order of jobs stood as a tuple in placement.cpp and as a second, slightly different one in admission.cpp (late before not late among begun jobs, no priority), so the plan could in principle place in another order than the pool.

Change: `turn` says when a job's tasks are placed; both sort by it. Where the two tuples differed, among begun jobs and equal latest starts, the plan now follows the placement.

--- a/src/pool/admission.cpp
+++ b/src/pool/admission.cpp
@@ -128,11 +128,9 @@
 promise worker_pool::promise_of(const open_job& job, microseconds now) const
 {
     promise row;
-    row.begun = job.starts > 0;
-    row.latest_start = job.objective - job.longest;
-    row.late = late(job, now);
+    row.at = turn_of(job, now);
     // One that comes late, since its former pool is gone, goes last and keeps nobody waiting.
-    row.limit = limit_of(job, row.late ? m_settings.late_factor : m_settings.promise_factor);
+    row.limit = limit_of(job, late(job, now) ? m_settings.late_factor : m_settings.promise_factor);
     for (const auto& task : job.tasks)
     {
         if (task.stage != task_stage::waiting)
@@ -152,11 +150,7 @@
         if (job.waiting > 0 && (job.starts > 0 || !late(job, now)))
             order.push_back(promise_of(job, now));
     std::sort(order.begin(), order.end(),
-              [](const promise& a, const promise& b)
-              {
-                  return std::make_tuple(!a.begun, a.late, a.latest_start) <
-                         std::make_tuple(!b.begun, b.late, b.latest_start);
-              });
+              [](const promise& a, const promise& b) { return a.at < b.at; });
     return order;
 }
 
@@ -177,7 +171,8 @@
     { return expected_ends(order, schedule, now, counts); };
     // Where the runs on the workers alone make it late, refusing it helps nobody, unless late ones
     // have found no room for a while: then it would only wait in vain.
-    const auto behind_begun = ends([](const promise& one) { return one.begun || one.is_new; });
+    const auto behind_begun =
+        ends([](const promise& one) { return !one.at.not_begun || one.is_new; });
     if (behind_begun[fresh] > order[fresh].limit && now - m_late_reached < m_settings.starved_after)
         order[fresh].limit = limit_of(job, m_settings.late_factor);
     const auto before = ends([](const promise& one) { return !one.is_new; });
--- a/src/pool/place_schedule.hpp
+++ b/src/pool/place_schedule.hpp
@@ -48,12 +48,20 @@
     std::vector<microseconds> m_free; // a heap, the earliest first
 };
 
-// What waits of one job, in the order in which it is placed, and by when it should have ended.
-struct promise
+// When a job's waiting tasks are placed: the lower, the sooner.
+struct turn
 {
-    bool begun = false;
-    bool late = false;
+    bool not_begun = false;
+    bool late = false; // and not begun
     microseconds latest_start{0};
+    std::uint32_t priority = 0;
+    auto operator<=>(const turn&) const = default;
+};
+
+// What waits of one job, and by when it should have ended.
+struct promise
+{
+    turn at;
     microseconds limit{0};
     std::vector<std::pair<std::uint32_t, microseconds>> tasks; // places that each takes, and time
     bool is_new = false;
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -111,18 +111,19 @@
     for (auto& [id, job] : m_jobs)
         if (job.waiting > 0 && !job.after_former)
             jobs.push_back(&job);
-    const auto key = [now](const open_job* job)
-    {
-        const auto latest_start = job->objective - job->longest;
-        const bool begun = job->starts > 0;
-        return std::make_tuple(!begun, !begun && late(*job, now), latest_start,
-                               job->request.terms.priority);
-    };
     std::sort(jobs.begin(), jobs.end(),
-              [&](const open_job* a, const open_job* b) { return key(a) < key(b); });
+              [now](const open_job* a, const open_job* b)
+              { return turn_of(*a, now) < turn_of(*b, now); });
     return jobs;
 }
 
+turn worker_pool::turn_of(const open_job& job, microseconds now)
+{
+    const bool begun = job.starts > 0;
+    return {!begun, !begun && late(job, now), job.objective - job.longest,
+            job.request.terms.priority};
+}
+
 void worker_pool::place(microseconds now, action_list& out)
 {
     std::uint32_t scanned = 0;
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -220,6 +220,7 @@
     {
         return job.objective - job.longest < now;
     }
+    static turn turn_of(const open_job& job, microseconds now);
     promise promise_of(const open_job& job, microseconds now) const;
     std::vector<promise> promises_with(const open_job& fresh, microseconds now) const;
     // Why the job is not taken on; nothing if it is.
