Log lines and a counter for jobs that are offered to a pool again

Change: event=offer_declined (pool), orphan_offered and orphan_declined (caller's host), here_ms in job_ended, the counter orphaned. No decision changes.

--- a/src/io/edge_metrics.cpp
+++ b/src/io/edge_metrics.cpp
@@ -53,6 +53,7 @@
     call_count_row{"unknown", &pool::entry::totals::unknown},
     call_count_row{"caller_gone", &pool::entry::totals::gone},
     call_count_row{"sent_away", &pool::entry::totals::away},
+    call_count_row{"orphaned", &pool::entry::totals::orphaned},
     call_count_row{"placed_anew", &pool::entry::totals::placed_anew}};
 
 struct pool_count_row
--- a/src/pool/admission.cpp
+++ b/src/pool/admission.cpp
@@ -218,6 +218,7 @@
     job.request = std::move(request);
     job.caller = caller;
     job.arrived = now - age;
+    job.taken = now;
     std::vector<milliseconds> chain;
     for (const auto& step : job.request.steps)
     {
--- a/src/pool/entry.cpp
+++ b/src/pool/entry.cpp
@@ -46,6 +46,12 @@
     return time_allowed(job.terms, longest) - longest;
 }
 
+// A pool's name in log lines.
+std::string shown(const std::string& pool)
+{
+    return pool.empty() ? "self" : pool;
+}
+
 // Until when an answer is of use to the caller.
 microseconds latest_end(const job_request& job, microseconds arrived, double late_factor)
 {
@@ -235,9 +241,10 @@
     if (now + longest_of(call.job) > latest_end(call.job, call.arrived, m_settings.late_factor))
         return settle(now, number, std::move(answer), out);
     out.push_back(actions::log_event{
-        true, "event=job_orphaned job=" + call.job.id + " pool=" + call.pool + " reason=\"" +
+        true, "event=job_orphaned job=" + call.job.id + " pool=" + shown(call.pool) + " reason=\"" +
                   answer.detail + "\" former_workers=" + std::to_string(former.size()) +
                   " over_in_ms=" + std::to_string((over_at - now).count() / 1000)});
+    ++m_totals.orphaned;
     call.park();
     call.orphan = true;
     call.may_have_run = true;
@@ -259,7 +266,14 @@
 {
     if (const auto pool = call.orphan ? choose_for_orphan(now, call) : choose(now, call))
     {
-        m_totals.placed_anew += call.orphan ? 1 : 0;
+        if (call.orphan)
+        {
+            ++m_totals.placed_anew;
+            out.push_back(actions::log_event{
+                false, "event=orphan_offered job=" + call.job.id + " pool=" + shown(*pool) +
+                           " former_pool=" + shown(call.pool) +
+                           " over_in_ms=" + std::to_string((call.over_at - now).count() / 1000)});
+        }
         call.parked = false;
         call.pool = *pool;
         return send(now, call, out);
@@ -335,6 +349,9 @@
                                std::move(answer), out);
     if (declined && call.orphan)
     {
+        out.push_back(actions::log_event{false, "event=orphan_declined job=" + call.job.id +
+                                                    " pool=" + shown(call.pool) + " reason=\"" +
+                                                    answer.detail + '"'});
         call.retry_at = now + m_settings.orphan_retry;
         return call.park();
     }
@@ -391,8 +408,7 @@
     out.push_back(actions::log_event{
         answer.kind != answer_kind::ok,
         "event=answered job=" + call.job.id + " route=" + call.job.terms.route +
-            " outcome=" + std::string(name_of(answer.kind)) +
-            " pool=" + (call.pool.empty() ? "self" : call.pool) +
+            " outcome=" + std::string(name_of(answer.kind)) + " pool=" + shown(call.pool) +
             " tried=" + std::to_string(call.tried.size()) +
             " age_ms=" + std::to_string((now - call.arrived).count() / 1000) +
             " wait_ms=" + std::to_string(call.job.terms.wait.count()) +
--- a/src/pool/entry.hpp
+++ b/src/pool/entry.hpp
@@ -72,7 +72,8 @@
         std::uint64_t unknown = 0;
         std::uint64_t gone = 0;        // the caller left first
         std::uint64_t away = 0;        // sent to another data centre
-        std::uint64_t placed_anew = 0; // after their pool's host had gone
+        std::uint64_t orphaned = 0;    // their pool's host fell silent, or it lost a worker
+        std::uint64_t placed_anew = 0; // offers of orphans
     };
     const totals& counts() const { return m_totals; }
 
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -324,6 +324,13 @@
     if (job && !m_leaving && cleared && m_members.hears_us(from, now.steady))
         return m_pool.submit(now.steady, std::move(*job), caller, milliseconds{message.age_ms()},
                              out);
+    const auto reason = !job        ? job.error().message
+                        : m_leaving ? "leaving"
+                        : !cleared  ? "former workers not cleared"
+                                    : "heartbeats not heard";
+    out.push_back(actions::log_event{true, "event=offer_declined job=" + message.id() +
+                                               " caller_host=" + from.name + " reason=\"" + reason +
+                                               '"'});
     actions::send_peer reply{from.name, {}};
     auto& result = *reply.message.mutable_pool_result();
     result.set_call(message.call());
@@ -332,10 +339,7 @@
         static_cast<std::uint32_t>(job ? answer_kind::no_worker_fits : answer_kind::bad_request));
     result.set_declined(job.has_value());
     result.set_retry_after_ms(1000);
-    result.set_detail(!job        ? job.error().message
-                      : m_leaving ? "leaving"
-                      : !cleared  ? "former workers not cleared"
-                                  : "heartbeats not heard");
+    result.set_detail(reason);
     out.push_back(std::move(reply));
 }
 
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -156,6 +156,7 @@
         "event=job_ended job=" + job.request.id + " outcome=" + std::string(name_of(answer.kind)) +
             " caller_host=" + (job.caller.host.empty() ? "self" : job.caller.host) +
             " age_ms=" + std::to_string(ms(now - job.arrived)) +
+            " here_ms=" + std::to_string(ms(now - job.taken)) +
             " objective_ms=" + std::to_string(ms(job.objective - job.arrived)) + " longest_ms=" +
             std::to_string(job.longest.count()) + " tasks=" + std::to_string(job.tasks.size()) +
             " left=" + std::to_string(job.left) + " starts=" + std::to_string(job.starts) +
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -159,6 +159,7 @@
         job_request request;
         caller_ref caller;
         microseconds arrived{0};
+        microseconds taken{0};     // by this pool
         microseconds objective{0}; // in time until then
         microseconds give_up{0};   // nobody waits longer
         milliseconds longest{0};   // expected time of its longest chain
