--- a/harness/pool_world.cpp
+++ b/harness/pool_world.cpp
@@ -185,6 +185,14 @@
         m_cut_hosts.erase({pair.first, pair.second});
 }
 
+void pool_world::cut_one_way(std::uint32_t from, std::uint32_t to, bool cut)
+{
+    if (cut)
+        m_cut_one_way.insert({from, to});
+    else
+        m_cut_one_way.erase({from, to});
+}
+
 void pool_world::cut_worker(std::uint32_t host, std::uint32_t worker, bool cut)
 {
     if (cut)
@@ -252,7 +260,8 @@
             for (std::uint32_t to = 0; to < host_count(); ++to)
             {
                 if (m_hosts[to]->name != message->host ||
-                    m_cut_hosts.contains(std::minmax(index, to)))
+                    m_cut_hosts.contains(std::minmax(index, to)) ||
+                    m_cut_one_way.contains({index, to}))
                     continue;
                 const auto life = m_hosts[to]->life;
                 at(m_now + delay(),
--- a/harness/pool_world.hpp
+++ b/harness/pool_world.hpp
@@ -52,6 +52,8 @@
     void stop_host(std::uint32_t host); // gracefully
     const pool::pool_host* host(std::uint32_t index) const;
     void cut_hosts(std::uint32_t a, std::uint32_t b, bool cut);
+    // Messages from one host to another are lost; the other way they pass.
+    void cut_one_way(std::uint32_t from, std::uint32_t to, bool cut);
     void cut_worker(std::uint32_t host, std::uint32_t worker, bool cut);
     std::uint32_t worker_count() const { return static_cast<std::uint32_t>(m_workers.size()); }
     standin::pool_worker_model& worker(std::uint32_t index);
@@ -134,6 +136,7 @@
     std::vector<std::unique_ptr<host_slot>> m_hosts;
     std::vector<std::unique_ptr<standin::pool_worker_model>> m_workers;
     std::set<std::pair<std::uint32_t, std::uint32_t>> m_cut_hosts;
+    std::set<std::pair<std::uint32_t, std::uint32_t>> m_cut_one_way; // from, to
     std::set<std::pair<std::uint32_t, std::uint32_t>> m_cut_workers;
     std::map<std::string, job_record> m_jobs;
     std::set<std::string> m_failing_jobs;
--- /dev/null
+++ b/tests/pool_offers_test.cpp
@@ -0,0 +1,215 @@
+// A caller's job at pools: a host may place it anew, or let its caller come back elsewhere, only
+// once the pool that had it runs nothing of it any more.
+
+#include "harness/pool_world.hpp"
+#include "tests/pool_helpers.hpp"
+#include <boost/test/unit_test.hpp>
+
+using namespace egretledge;
+using namespace egretledge::pool;
+using namespace egretledge::harness;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// A job whose host does not hear its pool for a while, played for each place of that time between
+// two heartbeats, and for callers' hosts that would and would not be the ones to take the pool's
+// workers over.
+struct silence_case
+{
+    milliseconds phase{0};
+    milliseconds silence{0};
+    std::uint32_t pool = 0;
+    std::uint32_t caller = 0;
+};
+
+void for_each_silence(const std::function<void(pool_world&, const silence_case&)>& play)
+{
+    for (auto phase = 0ms; phase < 130ms; phase += 20ms)
+        for (const auto silence : {470ms, 520ms, 570ms})
+            for (std::uint32_t other = 1; other < 3; ++other)
+            {
+                pool_world_settings settings;
+                settings.hosts_per_centre = 3;
+                pool_world world(settings);
+                world.run_until(at_ms(2500) + phase);
+                silence_case about{phase, silence, 0, 0};
+                while (world.host(about.pool)->workers().held().empty())
+                    ++about.pool;
+                about.caller = (about.pool + other) % 3;
+                play(world, about);
+                world.run_until(at_ms(9000));
+                for (const auto& violation : world.violations())
+                    BOOST_ERROR("phase " << phase.count() << ", silent for " << silence.count()
+                                         << " ms, caller at " << about.caller << ": " << violation);
+            }
+}
+
+void fall_silent(pool_world& world, const silence_case& about)
+{
+    world.cut_one_way(about.pool, about.caller, true);
+    world.run_until(world.now() + about.silence);
+    world.cut_one_way(about.pool, about.caller, false);
+}
+
+// An entry with its parts, fed with heartbeats and results by hand.
+struct entry_by_hand
+{
+    members peers;
+    worker_pool own{{}, 1};
+    started_jobs started{{}};
+    entry calls;
+    action_list out;
+    std::uint64_t beats = 0;
+    const std::string first_pool = "h2";
+    const std::string second_pool = "h3";
+
+    entry_by_hand() : peers(settings()), calls({}, peers, own, started) {}
+
+    static members_settings settings()
+    {
+        members_settings about;
+        about.self = {"h1", 1};
+        about.data_centre = "dc1";
+        about.address = "h1";
+        return about;
+    }
+    void beat(microseconds now, const std::string& host, const std::string& worker,
+              milliseconds wait)
+    {
+        wire::PoolBeat text;
+        text.set_sequence(++beats);
+        text.set_data_centre("dc1");
+        text.set_address(host);
+        text.set_settled(true);
+        text.set_held_version(1);
+        text.set_with_held(true);
+        text.add_held(worker);
+        text.set_held_count(1);
+        text.set_free_cpu(16000);
+        text.set_total_cpu(16000);
+        text.set_wait_ms(static_cast<std::uint32_t>(wait.count()));
+        peers.on_beat(now, {host, 1}, text, out);
+    }
+    void tick(microseconds now)
+    {
+        peers.tick(
+            now, [] { return members::announcement{}; }, out);
+        calls.tick(now, out);
+    }
+    void submit(microseconds now)
+    {
+        job_request job;
+        job.id = "job";
+        job.steps.push_back({});
+        job.steps.back().need = a_task;
+        job.steps.back().estimate = 900ms;
+        job.terms = {"r", "desk", 0, 3, 1.6, 60ms, 6000ms};
+        calls.submit({now, 0ms}, 1, job, out);
+    }
+    // The offers of the job that were sent to a host.
+    std::vector<wire::PoolJob> offers(const std::string& host) const
+    {
+        std::vector<wire::PoolJob> found;
+        for (const auto& action : out)
+            if (const auto* message = std::get_if<actions::send_peer>(&action);
+                message != nullptr && message->host == host && message->message.has_pool_job())
+                found.push_back(message->message.pool_job());
+        return found;
+    }
+    void decline(microseconds now, const std::string& host, const wire::PoolJob& offer)
+    {
+        wire::PoolResult result;
+        result.set_call(offer.call());
+        result.set_id(offer.id());
+        result.set_kind(static_cast<std::uint32_t>(answer_kind::no_worker_fits));
+        result.set_declined(true);
+        calls.on_result(now, host, result, out);
+    }
+};
+
+} // namespace
+
+// Incident TWICE: a refusal of the first offer arrived after the second offer to the same pool.
+BOOST_AUTO_TEST_CASE(a_late_refusal_of_an_earlier_offer_does_not_free_the_job_for_another_pool)
+{
+    entry_by_hand test;
+    test.tick(at_ms(1000));
+    test.beat(at_ms(1000), test.first_pool, "w1", 0ms);
+    test.beat(at_ms(1000), test.second_pool, "w2", 5ms);
+    test.submit(at_ms(1010));
+    BOOST_REQUIRE(test.offers(test.first_pool).size() == 1U);
+    // The first pool's messages wait to be read, a refusal among them.
+    for (auto ms = 1020; ms <= 2360; ms += 20)
+    {
+        test.beat(at_ms(ms), test.second_pool, "w2", 5ms);
+        test.tick(at_ms(ms));
+    }
+    test.beat(at_ms(2370), test.first_pool, "w1", 50ms);
+    test.tick(at_ms(2380));
+    BOOST_REQUIRE(test.offers(test.first_pool).size() == 2U);
+    test.decline(at_ms(2385), test.first_pool, test.offers(test.first_pool).front());
+    // From here on the first pool has the job by the second offer, and is heard all the time.
+    for (auto ms = 2400; ms <= 4000; ms += 20)
+    {
+        test.beat(at_ms(ms), test.first_pool, "w1", 50ms);
+        test.beat(at_ms(ms), test.second_pool, "w2", 5ms);
+        test.tick(at_ms(ms));
+    }
+    BOOST_TEST(test.offers(test.second_pool).empty());
+}
+
+// Incident TWICE: the caller was told "unknown" and came back, while the pool, which had only not
+// been heard for half a second, went on with the job.
+BOOST_AUTO_TEST_CASE(a_pool_that_is_heard_again_stops_what_its_caller_was_told_unknown_of)
+{
+    std::size_t told = 0;
+    for_each_silence(
+        [&](pool_world& world, const silence_case& about)
+        {
+            world.submit(about.caller, "order", 2, a_task, 2500ms);
+            world.run_until(world.now() + 100ms);
+            fall_silent(world, about);
+            world.run_until(world.now() + 500ms);
+            const auto* call = world.last_call("order");
+            if (call->answered.count() < 0)
+                return; // the silence was too short to be noticed
+            ++told;
+            world.run_until(call->answered + 1300ms);
+            world.submit(4, "order", 2, a_task, 2500ms);
+        });
+    BOOST_TEST(told > 0U);
+}
+
+// The same for a job that its caller's host places anew: the pool is stopping, so that it is not
+// asked again.
+BOOST_AUTO_TEST_CASE(a_stopping_pool_that_is_heard_again_keeps_its_job_or_stops_it)
+{
+    for_each_silence(
+        [](pool_world& world, const silence_case& about)
+        {
+            world.submit(about.caller, "order", 2, a_task, 2000ms);
+            world.run_until(world.now() + 100ms);
+            world.stop_host(about.pool);
+            fall_silent(world, about);
+        });
+}
+
+// A cancellation is lost with the connection that carries it, and the caller comes back elsewhere.
+BOOST_AUTO_TEST_CASE(a_cancellation_that_is_lost_on_its_way_still_reaches_the_pool)
+{
+    for_each_silence(
+        [](pool_world& world, const silence_case& about)
+        {
+            constexpr milliseconds reconnect{20};
+            world.submit(about.caller, "order", 2, a_task, 2500ms);
+            world.run_until(world.now() + 200ms);
+            world.cut_hosts(about.pool, about.caller, true);
+            world.caller_leaves("order");
+            world.run_until(world.now() + reconnect);
+            world.cut_hosts(about.pool, about.caller, false);
+            world.run_until(world.now() + 1280ms);
+            world.submit(4, "order", 2, a_task, 2500ms);
+        });
+}
