A pool's result answers one offer of a job, not the job

Cause: a caller's host may offer a job to the same pool again, after that pool was not heard for a while. Results named the call only. A refusal of the first offer that was read after the second one had been sent was taken for a refusal of the second: the host believed that the pool had nothing, and placed the job elsewhere when the leases were over, while the pool had taken the second offer. Change: each offer has a number, which results and cancellations name. A result of an earlier offer is logged (event=late_result) and ignored, unless the job is complete.

--- a/src/pool/entry.cpp
+++ b/src/pool/entry.cpp
@@ -301,9 +301,10 @@
 void entry::send(microseconds now, open_call& call, action_list& out)
 {
     call.tried.insert(call.pool);
+    call.offer = ++m_offers;
     const auto age = std::chrono::duration_cast<milliseconds>(now - call.arrived);
     if (call.pool.empty())
-        return m_own.submit(now, call.job, {{}, 0, call.call}, age, out);
+        return m_own.submit(now, call.job, {{}, 0, call.offer}, age, out);
     const auto* host = m_peers.find(call.pool);
     call.pool_ref = host->ref;
     m_promised[call.pool].second += call.cpu;
@@ -312,7 +313,7 @@
     actions::send_peer message{call.pool, {}};
     auto& job = *message.message.mutable_pool_job();
     to_wire(call.job, job);
-    job.set_call(call.call);
+    job.set_offer(call.offer);
     job.set_age_ms(static_cast<std::uint32_t>(age.count()));
     if (call.orphan && now < call.over_at)
         for (const auto& worker : call.former)
@@ -322,19 +323,41 @@
 
 void entry::on_own_result(microseconds now, const pool_result& result, action_list& out)
 {
-    decide(now, result.caller.call, result.answer, result.declined, out);
+    on_offer_result(now, result.job, {}, result.caller.offer, result.answer, result.declined, out);
 }
 
 void entry::on_result(microseconds now, const std::string& host, const wire::PoolResult& result,
                       action_list& out)
 {
-    const auto call = m_calls.find(result.call());
-    if (call == m_calls.end() || call->second.pool != host || call->second.job.id != result.id())
+    on_offer_result(now, result.id(), host, result.offer(),
+                    {static_cast<answer_kind>(result.kind()), milliseconds{result.retry_after_ms()},
+                     result.detail()},
+                    result.declined(), out);
+}
+
+void entry::on_offer_result(microseconds now, const std::string& job, const std::string& pool,
+                            std::uint64_t offer, call_answer answer, bool declined,
+                            action_list& out)
+{
+    const auto known = m_by_job.find(job);
+    if (known == m_by_job.end())
         return;
-    decide(now, result.call(),
-           {static_cast<answer_kind>(result.kind()), milliseconds{result.retry_after_ms()},
-            result.detail()},
-           result.declined(), out);
+    auto& call = m_calls.at(known->second);
+    if (call.offer == offer && call.pool == pool)
+    {
+        call.offer = 0;
+        return decide(now, call.call, std::move(answer), declined, out);
+    }
+    if (answer.kind == answer_kind::ok)
+    {
+        tell_pool(now, call, out);
+        return settle(now, call.call, std::move(answer), out);
+    }
+    out.push_back(actions::log_event{
+        false,
+        "event=late_result job=" + job + " pool=" + shown(pool) +
+            " outcome=" + std::string(name_of(answer.kind)) + " offer=" + std::to_string(offer) +
+            " latest_offer=" + std::to_string(call.offer) + " reason=\"" + answer.detail + '"'});
 }
 
 void entry::decide(microseconds now, std::uint64_t number, call_answer answer, bool declined,
@@ -434,9 +457,9 @@
     if (call.parked)
         return;
     if (call.pool.empty())
-        return m_own.cancel(now, call.job.id, {{}, 0, call.call}, out);
+        return m_own.cancel(now, call.job.id, {{}, 0, call.offer}, out);
     actions::send_peer message{call.pool, {}};
-    message.message.mutable_pool_cancel()->set_call(call.call);
+    message.message.mutable_pool_cancel()->set_offer(call.offer);
     message.message.mutable_pool_cancel()->set_id(call.job.id);
     out.push_back(std::move(message));
 }
--- a/src/pool/entry.hpp
+++ b/src/pool/entry.hpp
@@ -85,6 +85,8 @@
         microseconds arrived{0};
         std::string pool; // empty: this host's own
         host_ref pool_ref;
+        // The latest attempt to place the job; 0 once its pool has answered.
+        std::uint64_t offer = 0;
         std::set<std::string> tried;
         std::int64_t cpu = 0;
         bool parked = false; // no pool is in reach yet
@@ -120,6 +122,10 @@
     void adopt_or_settle(microseconds now, std::uint64_t call, std::vector<std::string> former,
                          microseconds over_at, call_answer answer, action_list& out);
     void settle(microseconds now, std::uint64_t call, call_answer answer, action_list& out);
+    // Takes the result of one offer. That of an earlier offer says nothing about a later one,
+    // except that a job which is complete stays so.
+    void on_offer_result(microseconds now, const std::string& job, const std::string& pool,
+                         std::uint64_t offer, call_answer answer, bool declined, action_list& out);
     void decide(microseconds now, std::uint64_t call, call_answer answer, bool declined,
                 action_list& out);
     // Tells the pool that nobody waits for the job any more.
@@ -131,6 +137,7 @@
     const started_jobs& m_started;
     std::map<std::uint64_t, open_call> m_calls;
     std::map<std::string, std::uint64_t> m_by_job;
+    std::uint64_t m_offers = 0; // made so far
     // Room promised away since a peer's last load report.
     mutable std::map<std::string, std::pair<microseconds, std::int64_t>> m_promised;
     // Answered jobs: complete ones, and those of which something may have run.
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -303,7 +303,7 @@
             }
             actions::send_peer message{result.caller.host, {}};
             auto& reply = *message.message.mutable_pool_result();
-            reply.set_call(result.caller.call);
+            reply.set_offer(result.caller.offer);
             reply.set_id(result.job);
             reply.set_kind(static_cast<std::uint32_t>(result.answer.kind));
             reply.set_retry_after_ms(static_cast<std::uint32_t>(result.answer.retry_after.count()));
@@ -317,7 +317,7 @@
                             action_list& out)
 {
     auto job = from_wire(message);
-    const caller_ref caller{from.name, from.incarnation, message.call()};
+    const caller_ref caller{from.name, from.incarnation, message.offer()};
     const std::vector<std::string> former(message.former_workers().begin(),
                                           message.former_workers().end());
     const bool cleared = m_pool.cleared(former);
@@ -333,7 +333,7 @@
                                                '"'});
     actions::send_peer reply{from.name, {}};
     auto& result = *reply.message.mutable_pool_result();
-    result.set_call(message.call());
+    result.set_offer(message.offer());
     result.set_id(message.id());
     result.set_kind(
         static_cast<std::uint32_t>(job ? answer_kind::no_worker_fits : answer_kind::bad_request));
@@ -375,7 +375,7 @@
         break;
     case wire::PeerMessage::kPoolCancel:
         m_pool.cancel(now.steady, message.pool_cancel().id(),
-                      {from.name, from.incarnation, message.pool_cancel().call()}, out);
+                      {from.name, from.incarnation, message.pool_cancel().offer()}, out);
         break;
     case wire::PeerMessage::kPoolConfig:
         if (!m_config || message.pool_config().version() > m_config->version)
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -41,12 +41,13 @@
     milliseconds least_retry_after{1000};
 };
 
-// Who waits for a job: a call at this host (empty name) or at another one.
+// Who waits for a job: an entry, this host's own (empty name) or another one's, and which of its
+// offers brought the job here. A result answers that offer and no other one.
 struct caller_ref
 {
     std::string host;
     std::uint64_t incarnation = 0;
-    std::uint64_t call = 0;
+    std::uint64_t offer = 0;
     bool operator==(const caller_ref&) const = default;
 };
 
--- a/tests/pool_offers_test.cpp
+++ b/tests/pool_offers_test.cpp
@@ -121,7 +121,7 @@
     void decline(microseconds now, const std::string& host, const wire::PoolJob& offer)
     {
         wire::PoolResult result;
-        result.set_call(offer.call());
+        result.set_offer(offer.offer());
         result.set_id(offer.id());
         result.set_kind(static_cast<std::uint32_t>(answer_kind::no_worker_fits));
         result.set_declined(true);
