Heartbeats name the offers that a host has given up until their echo returns

What callers saw: a job ran on at a pool that its caller's host had given up, and a second time where the caller came back (TWICE). Cause: a pool keeps a caller's job as long as heartbeats of the caller's host arrive. That one job was given up was told once, in a message that is lost with its connection, or not at all: when the pool was not heard for 450 ms the caller was told "unknown", and the pool, heard again within 700 ms, went on. So the tie between a pool and a caller's host was renewed as a whole by heartbeats, while single jobs were cut from it by messages that may not arrive. Change: an offer that is withdrawn, or replaced by a later one, is named in every heartbeat to that pool until a heartbeat that did so is echoed. The message at once stays, as it is faster. Cancellations name the offer alone. Why it works: only a heartbeat sent after the withdrawal can carry an echo that prolongs the tie, and it carries the withdrawal too; if none arrives the pool gives the job up 700 ms after its last echoed heartbeat, as before. Cost: 2 or 3 bytes a withdrawn offer and heartbeat, for about two heartbeats.

--- a/src/pool/admission.cpp
+++ b/src/pool/admission.cpp
@@ -203,8 +203,10 @@
     const auto known = m_jobs.find(request.id);
     if (known != m_jobs.end())
     {
-        // The same job again: the newest call gets the answer, the work goes on.
+        // The same job again: the newest offer gets the answer, the work goes on.
         auto& job = known->second;
+        m_by_caller.erase(job.caller);
+        m_by_caller.emplace(caller, request.id);
         if (job.caller != caller)
             m_results.push_back({job.caller,
                                  request.id,
@@ -247,6 +249,7 @@
         return;
     }
     job.after_former = m_former.contains(job.request.id);
+    m_by_caller.emplace(caller, job.request.id);
     m_jobs.emplace(job.request.id, std::move(job));
     place(now, out);
 }
--- a/src/pool/entry.cpp
+++ b/src/pool/entry.cpp
@@ -301,12 +301,18 @@
 void entry::send(microseconds now, open_call& call, action_list& out)
 {
     call.tried.insert(call.pool);
-    call.offer = ++m_offers;
     const auto age = std::chrono::duration_cast<milliseconds>(now - call.arrived);
+    const auto* host = call.pool.empty() ? nullptr : m_peers.find(call.pool);
+    const auto pool_ref = host == nullptr ? host_ref{} : host->ref;
+    // The same pool replaces the former offer by the new one, unless that is lost on its way.
+    if (call.offer != 0 && pool_ref == call.pool_ref)
+        m_peers.withdraw(now, pool_ref, call.offer);
+    else
+        withdraw_offer(now, call, out);
+    call.offer = ++m_offers;
+    call.pool_ref = pool_ref;
     if (call.pool.empty())
         return m_own.submit(now, call.job, {{}, 0, call.offer}, age, out);
-    const auto* host = m_peers.find(call.pool);
-    call.pool_ref = host->ref;
     m_promised[call.pool].second += call.cpu;
     if (host->data_centre != m_settings.data_centre)
         ++m_totals.away;
@@ -349,10 +355,7 @@
         return decide(now, call.call, std::move(answer), declined, out);
     }
     if (answer.kind == answer_kind::ok)
-    {
-        tell_pool(now, call, out);
         return settle(now, call.call, std::move(answer), out);
-    }
     out.push_back(actions::log_event{
         false,
         "event=late_result job=" + job + " pool=" + shown(pool) +
@@ -411,7 +414,8 @@
 void entry::settle(microseconds now, std::uint64_t number, call_answer answer, action_list& out)
 {
     const auto found = m_calls.find(number);
-    const auto& call = found->second;
+    auto& call = found->second;
+    withdraw_offer(now, call, out);
     answer = truthful(now, call.job.id, call.may_have_run, std::move(answer));
     switch (row_of(answer.kind).result)
     {
@@ -452,15 +456,16 @@
     m_past_order.emplace_back(now, job);
 }
 
-void entry::tell_pool(microseconds now, const open_call& call, action_list& out)
+void entry::withdraw_offer(microseconds now, open_call& call, action_list& out)
 {
-    if (call.parked)
+    const auto offer = std::exchange(call.offer, 0);
+    if (offer == 0)
         return;
-    if (call.pool.empty())
-        return m_own.cancel(now, call.job.id, {{}, 0, call.offer}, out);
-    actions::send_peer message{call.pool, {}};
-    message.message.mutable_pool_cancel()->set_offer(call.offer);
-    message.message.mutable_pool_cancel()->set_id(call.job.id);
+    if (call.pool_ref.empty())
+        return m_own.cancel(now, {{}, 0, offer}, out);
+    m_peers.withdraw(now, call.pool_ref, offer);
+    actions::send_peer message{call.pool_ref.name, {}};
+    message.message.mutable_pool_cancel()->set_offer(offer);
     out.push_back(std::move(message));
 }
 
@@ -470,14 +475,14 @@
     if (found == m_calls.end())
         return;
     ++m_totals.gone;
-    const auto call = std::move(found->second);
+    auto call = std::move(found->second);
     m_calls.erase(found);
     m_by_job.erase(call.job.id);
     remember(now, call.job.id, false);
     out.push_back(actions::log_event{
         true, "event=caller_gone job=" + call.job.id +
                   " age_ms=" + std::to_string((now - call.arrived).count() / 1000)});
-    tell_pool(now, call, out);
+    withdraw_offer(now, call, out);
 }
 
 bool entry::cancel(microseconds now, const std::string& job, action_list& out)
@@ -485,9 +490,7 @@
     const auto known = m_by_job.find(job);
     if (known == m_by_job.end())
         return false;
-    const auto& call = m_calls.at(known->second);
-    tell_pool(now, call, out);
-    settle(now, call.call, {answer_kind::cancelled, {}, "taken back"}, out);
+    settle(now, known->second, {answer_kind::cancelled, {}, "taken back"}, out);
     return true;
 }
 
@@ -523,10 +526,7 @@
                         {answer_kind::worker_lost, {}, "the pool's host is silent"}, out);
     }
     for (const auto number : overdue)
-    {
-        tell_pool(now, m_calls.at(number), out);
         settle(now, number, {answer_kind::deadline_passed, {}, "no answer of the pool"}, out);
-    }
     while (!m_past_order.empty() && (now - m_past_order.front().first > m_settings.remember ||
                                      m_past_order.size() > m_settings.most_remembered))
     {
--- a/src/pool/entry.hpp
+++ b/src/pool/entry.hpp
@@ -128,8 +128,9 @@
                          std::uint64_t offer, call_answer answer, bool declined, action_list& out);
     void decide(microseconds now, std::uint64_t call, call_answer answer, bool declined,
                 action_list& out);
-    // Tells the pool that nobody waits for the job any more.
-    void tell_pool(microseconds now, const open_call& call, action_list& out);
+    // Gives up the latest offer, if its pool has not answered it: the pool is told at once, and in
+    // every heartbeat until it knows.
+    void withdraw_offer(microseconds now, open_call& call, action_list& out);
 
     entry_settings m_settings;
     members& m_peers;
--- a/src/pool/members.cpp
+++ b/src/pool/members.cpp
@@ -124,6 +124,10 @@
     }
     if (about.started != nullptr)
         about.started->announce(to.echo_sent, *beat.mutable_started());
+    while (!to.withdrawn.empty() && to.withdrawn.front().first < to.echo_sent)
+        to.withdrawn.pop_front();
+    for (const auto& [when, offer] : to.withdrawn)
+        beat.add_withdrawn(offer);
     out.push_back(std::move(message));
 }
 
@@ -194,6 +198,13 @@
     return &m_peers.at(from.name);
 }
 
+void members::withdraw(microseconds now, const host_ref& host, std::uint64_t offer)
+{
+    const auto known = m_peers.find(host.name);
+    if (known != m_peers.end() && known->second.ref == host)
+        known->second.withdrawn.emplace_back(now, offer);
+}
+
 bool members::alive(const std::string& name, microseconds now) const
 {
     const auto* host = find(name);
--- a/src/pool/members.hpp
+++ b/src/pool/members.hpp
@@ -7,6 +7,10 @@
 // it hears a peer, but since when the peer has heard it: the age of the newest own heartbeat that
 // came back. Work done for a peer's callers is tied to that age, since a peer that hears nothing
 // has told its callers to come back elsewhere.
+//
+// A heartbeat also names the offers of jobs that its sender has given up, until one that did so has
+// been echoed. A pool keeps a job only while new heartbeats of the caller's host arrive, and none
+// of them can arrive without the news.
 
 #include "pool/started_jobs.hpp"
 #include <deque>
@@ -73,6 +77,8 @@
     std::uint64_t seen_sequence = 0;
     std::uint64_t echoed_held = 0; // the version of our holdings that it knows
     microseconds next_beat{0};
+    // Offers that this host has given up, and when; until a heartbeat that told of them was echoed.
+    std::deque<std::pair<microseconds, std::uint64_t>> withdrawn;
 };
 
 class members
@@ -115,6 +121,9 @@
         microseconds heard{0};
     };
     std::optional<past_life> last_seen(const host_ref& host) const;
+    // Tells a host in every heartbeat, until it has echoed one, that this host has given an offer
+    // up. Nothing is to be told to a process that has ended.
+    void withdraw(microseconds now, const host_ref& host, std::uint64_t offer);
     // Sends the next heartbeats now: what is held has changed.
     void hurry() { m_next_round = microseconds{0}; }
     // True if this host hears less than half of those that it heard lately.
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -363,7 +363,11 @@
     {
         m_started.note_heard(now.steady, message.pool_beat().started());
         const auto* host = m_members.on_beat(now.steady, from, message.pool_beat(), out);
-        if (host != nullptr && m_config && host->config_version < m_config->version)
+        if (host == nullptr)
+            break;
+        for (const auto offer : message.pool_beat().withdrawn())
+            m_pool.cancel(now.steady, {from.name, from.incarnation, offer}, out);
+        if (m_config && host->config_version < m_config->version)
             offer_config(from, out);
         break;
     }
@@ -374,8 +378,8 @@
         m_entry.on_result(now.steady, from.name, message.pool_result(), out);
         break;
     case wire::PeerMessage::kPoolCancel:
-        m_pool.cancel(now.steady, message.pool_cancel().id(),
-                      {from.name, from.incarnation, message.pool_cancel().offer()}, out);
+        m_pool.cancel(now.steady, {from.name, from.incarnation, message.pool_cancel().offer()},
+                      out);
         break;
     case wire::PeerMessage::kPoolConfig:
         if (!m_config || message.pool_config().version() > m_config->version)
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -454,17 +454,17 @@
     log_job(job, answer, now, out);
     stop_runs(now, job, out);
     const auto id = job.request.id;
+    m_by_caller.erase(job.caller);
     m_results.push_back({job.caller, id, std::move(answer), declined});
     m_jobs.erase(id);
 }
 
-void worker_pool::cancel(microseconds now, const std::string& id, const caller_ref& caller,
-                         action_list& out)
+void worker_pool::cancel(microseconds now, const caller_ref& caller, action_list& out)
 {
-    const auto job = m_jobs.find(id);
-    if (job == m_jobs.end() || job->second.caller != caller)
-        return;
-    finish(now, job->second, {answer_kind::cancelled, {}, "the caller has gone"}, false, out);
+    const auto job = m_by_caller.find(caller);
+    if (job != m_by_caller.end())
+        finish(now, m_jobs.at(job->second),
+               {answer_kind::cancelled, {}, "nobody waits for it any more"}, false, out);
 }
 
 void worker_pool::cancel_callers(microseconds now,
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -48,7 +48,7 @@
     std::string host;
     std::uint64_t incarnation = 0;
     std::uint64_t offer = 0;
-    bool operator==(const caller_ref&) const = default;
+    auto operator<=>(const caller_ref&) const = default;
 };
 
 struct pool_result
@@ -93,9 +93,9 @@
     // `age` is the time that has passed since the caller's submission.
     void submit(microseconds now, job_request job, const caller_ref& caller, milliseconds age,
                 action_list& out);
-    // The caller has gone: its job ends without an answer, and its runs are stopped.
-    void cancel(microseconds now, const std::string& job, const caller_ref& caller,
-                action_list& out);
+    // Nobody waits for the job that this offer brought: it ends and its runs are stopped, unless a
+    // later offer has brought it again.
+    void cancel(microseconds now, const caller_ref& caller, action_list& out);
     // Cancels the jobs of callers for which `gone` holds.
     void cancel_callers(microseconds now, const std::function<bool(const caller_ref&)>& gone,
                         action_list& out);
@@ -248,6 +248,7 @@
     std::vector<std::string> m_losses;
     start_notes m_start_notes;
     std::map<std::string, open_job> m_jobs;
+    std::map<caller_ref, std::string> m_by_caller;
     // Runs of ended jobs that are not over yet, by job: a new submission of the id waits for them.
     std::map<std::string, std::set<run_ref>> m_former;
     run_times m_run_times;
--- a/tests/pool_offers_test.cpp
+++ b/tests/pool_offers_test.cpp
@@ -76,7 +76,7 @@
         return about;
     }
     void beat(microseconds now, const std::string& host, const std::string& worker,
-              milliseconds wait)
+              milliseconds wait, std::uint64_t echoed = 0)
     {
         wire::PoolBeat text;
         text.set_sequence(++beats);
@@ -90,6 +90,8 @@
         text.set_free_cpu(16000);
         text.set_total_cpu(16000);
         text.set_wait_ms(static_cast<std::uint32_t>(wait.count()));
+        text.set_echoed_sequence(echoed);
+        text.set_echoed_incarnation(1);
         peers.on_beat(now, {host, 1}, text, out);
     }
     void tick(microseconds now)
@@ -213,3 +215,38 @@
             world.submit(4, "order", 2, a_task, 2500ms);
         });
 }
+
+// A pool that is not heard is told of a withdrawn offer in every heartbeat until it has echoed one.
+BOOST_AUTO_TEST_CASE(a_withdrawn_offer_is_repeated_in_heartbeats_until_one_is_echoed)
+{
+    entry_by_hand test;
+    const auto withdrawn = [&]
+    {
+        std::vector<std::uint64_t> found;
+        for (const auto& action : std::exchange(test.out, {}))
+            if (const auto* message = std::get_if<actions::send_peer>(&action);
+                message != nullptr && message->host == test.first_pool &&
+                message->message.has_pool_beat())
+                found.push_back(
+                    static_cast<std::uint64_t>(message->message.pool_beat().withdrawn_size()));
+        return found;
+    };
+    test.tick(at_ms(1000));
+    test.beat(at_ms(1000), test.first_pool, "w1", 0ms);
+    test.submit(at_ms(1010));
+    test.calls.on_caller_gone(at_ms(1020), 1, test.out);
+    withdrawn();
+    for (auto ms = 1040; ms < 1500; ms += 20)
+        test.tick(at_ms(ms));
+    const auto before = withdrawn();
+    BOOST_REQUIRE(before.size() >= 3U);
+    BOOST_TEST(std::count(before.begin(), before.end(), 1U) ==
+               static_cast<std::ptrdiff_t>(before.size()));
+    // The first heartbeat was sent before the offer was made: its echo tells nothing.
+    test.beat(at_ms(1500), test.first_pool, "w1", 0ms, 1);
+    test.tick(at_ms(1600));
+    BOOST_TEST(withdrawn().back() == 1U);
+    test.beat(at_ms(1610), test.first_pool, "w1", 0ms, 3);
+    test.tick(at_ms(1740));
+    BOOST_TEST(withdrawn().back() == 0U);
+}
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -183,7 +183,7 @@
     const caller_ref first{{}, 0, 1};
     pool.submit(at_ms(4), job, first, 0ms, out);
     BOOST_REQUIRE(pool.counts().starts == 2U);
-    pool.cancel(at_ms(10), job.id, first, out);
+    pool.cancel(at_ms(10), first, out);
     job.steps.resize(1);
     pool.submit(at_ms(11), job, {{}, 0, 2}, 0ms, out);
     BOOST_TEST(pool.open_jobs() == 1U);
