A pool that is heard again is asked before its job goes elsewhere

What callers would see: two runs of one task at once, or work thrown away. Cause: a job whose pool was not heard goes to any pool 1,450 ms after the last heartbeat, since nothing runs there by then if the silence lasts. When it does not, the pool keeps the job; the timer ran on all the same, and only a pool that still held all its former workers and was not stopping was asked again. Evidence: a_job_stays_with_a_pool_that_is_heard_again_until_the_pool_declines_it fails before: the job is offered to a second pool while the first one is heard. Change: while an offer is open and its pool is heard in the same life, the job is offered to that pool and no other. The pool keeps a job that is there, also while it is stopping; before it declines for heartbeats that it does not hear, it ends what it has of that host, so that a decline means that nothing is left but runs that are being stopped. Why it works: a job moves only after a decline, or after a silence that lasted until all leases were over.

--- a/src/pool/entry.cpp
+++ b/src/pool/entry.cpp
@@ -220,6 +220,10 @@
 
 std::optional<std::string> entry::choose_for_orphan(microseconds now, open_call& call) const
 {
+    // A pool that is heard again in the same life may still have the job: it alone can tell.
+    const auto* former = call.offer == 0 ? nullptr : m_peers.find(call.pool_ref.name);
+    if (former != nullptr && former->ref == call.pool_ref && m_peers.alive(call.pool_ref.name, now))
+        return call.pool_ref.name;
     if (now >= call.over_at)
         return choose(now, call);
     if (call.former.empty())
--- a/src/pool/entry.hpp
+++ b/src/pool/entry.hpp
@@ -115,7 +115,8 @@
     // Until when a call without a pool is kept.
     microseconds wait_limit(microseconds now, const open_call& call) const;
     void retry_parked(microseconds now, action_list& out);
-    // The pool that has cleared an orphan's former workers, or any once their leases are over.
+    // The orphan's former pool if it is heard again, the pool that has cleared its former workers,
+    // or any once their leases are over.
     std::optional<std::string> choose_for_orphan(microseconds now, open_call& call) const;
     // Keeps a job whose pool has gone, to place it anew; tells the caller if that would be too
     // late.
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -104,14 +104,7 @@
                                          &m_started};
         },
         out);
-    m_pool.cancel_callers(
-        now.steady,
-        [&](const caller_ref& caller)
-        {
-            return !caller.host.empty() &&
-                   !m_members.hears_us({caller.host, caller.incarnation}, now.steady);
-        },
-        out);
+    cancel_silent_callers(now, out);
     m_pool.tick(now.steady, out);
     m_entry.tick(now.steady, out);
     if (now.steady >= m_next_steward)
@@ -123,6 +116,18 @@
     stamp(out);
 }
 
+void pool_host::cancel_silent_callers(instant now, action_list& out)
+{
+    m_pool.cancel_callers(
+        now.steady,
+        [&](const caller_ref& caller)
+        {
+            return !caller.host.empty() &&
+                   !m_members.hears_us({caller.host, caller.incarnation}, now.steady);
+        },
+        out);
+}
+
 // Whether a host that is cut off may take this worker now; see trial_after.
 bool pool_host::may_try(const std::string& worker, instant now)
 {
@@ -321,9 +326,14 @@
     const std::vector<std::string> former(message.former_workers().begin(),
                                           message.former_workers().end());
     const bool cleared = m_pool.cleared(former);
-    if (job && !m_leaving && cleared && m_members.hears_us(from, now.steady))
+    const bool heard = m_members.hears_us(from, now.steady);
+    // A job that is here stays, also at a pool that is stopping.
+    if (job && heard && (m_pool.has_job(message.id()) || (!m_leaving && cleared)))
         return m_pool.submit(now.steady, std::move(*job), caller, milliseconds{message.age_ms()},
                              out);
+    // Who is declined takes it that nothing of the job is here.
+    if (!heard)
+        cancel_silent_callers(now, out);
     const auto reason = !job        ? job.error().message
                         : m_leaving ? "leaving"
                         : !cleared  ? "former workers not cleared"
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -106,6 +106,8 @@
     bool may_take(const worker_entry& entry, instant now, action_list& out);
     void note_starts(instant now);
     void pass_results(instant now, action_list& out);
+    // Ends the jobs of hosts that may have given up on this one.
+    void cancel_silent_callers(instant now, action_list& out);
     void on_pool_job(instant now, const host_ref& from, const wire::PoolJob& message,
                      action_list& out);
     void offer_config(const host_ref& to, action_list& out);
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -124,6 +124,7 @@
     std::int64_t total_cpu(microseconds now) const;
     milliseconds expected_wait(microseconds now) const;
     std::size_t open_jobs() const { return m_jobs.size(); }
+    bool has_job(const std::string& job) const { return m_jobs.contains(job); }
     std::size_t waiting_jobs(const std::string& route) const;
     bool quiet() const { return m_jobs.empty() && idle().size() == m_workers.size(); }
 
--- a/tests/pool_offers_test.cpp
+++ b/tests/pool_offers_test.cpp
@@ -76,13 +76,14 @@
         return about;
     }
     void beat(microseconds now, const std::string& host, const std::string& worker,
-              milliseconds wait, std::uint64_t echoed = 0)
+              milliseconds wait, std::uint64_t echoed = 0, bool leaving = false)
     {
         wire::PoolBeat text;
         text.set_sequence(++beats);
         text.set_data_centre("dc1");
         text.set_address(host);
         text.set_settled(true);
+        text.set_leaving(leaving);
         text.set_held_version(1);
         text.set_with_held(true);
         text.add_held(worker);
@@ -216,6 +217,34 @@
         });
 }
 
+// A pool that is heard again in time may still have the job, also while it is stopping: the job
+// goes to no other pool before this one has answered.
+BOOST_AUTO_TEST_CASE(a_job_stays_with_a_pool_that_is_heard_again_until_the_pool_declines_it)
+{
+    entry_by_hand test;
+    const auto run = [&](std::int64_t from_ms, std::int64_t until_ms, bool first_heard)
+    {
+        for (auto ms = from_ms; ms <= until_ms; ms += 20)
+        {
+            if (first_heard)
+                test.beat(at_ms(ms), test.first_pool, "w1", 0ms, 0, true);
+            test.beat(at_ms(ms), test.second_pool, "w2", 5ms);
+            test.tick(at_ms(ms));
+        }
+    };
+    test.tick(at_ms(1000));
+    test.beat(at_ms(1000), test.first_pool, "w1", 0ms);
+    test.beat(at_ms(1000), test.second_pool, "w2", 5ms);
+    test.submit(at_ms(1010));
+    run(1020, 1500, false);
+    run(1520, 3500, true);
+    BOOST_TEST(test.offers(test.first_pool).size() == 2U);
+    BOOST_TEST(test.offers(test.second_pool).empty());
+    test.decline(at_ms(3510), test.first_pool, test.offers(test.first_pool).back());
+    run(3520, 3700, true);
+    BOOST_TEST(test.offers(test.second_pool).size() == 1U);
+}
+
 // A pool that is not heard is told of a withdrawn offer in every heartbeat until it has echoed one.
 BOOST_AUTO_TEST_CASE(a_withdrawn_offer_is_repeated_in_heartbeats_until_one_is_echoed)
 {
