An offer or a heartbeat of a former connection is out of date

What callers would see: two runs of one task at once. Cause: a connection between hosts is replaced when it falls silent, and what the former one held up may be read after messages of the new one. An offer that was withdrawn meanwhile would be taken on, and the withdrawal, named in an earlier heartbeat, would not come again; an old heartbeat would count as a sign of life. Change: an offer names the sender's latest heartbeat and is declined if a later one was read; a heartbeat that is not newer than the last one is ignored. A decline ends what an earlier offer of the same host brought, and while such runs are being stopped the answer is worker_lost, so that the host waits for their end before it places the job anew.

--- a/src/pool/entry.cpp
+++ b/src/pool/entry.cpp
@@ -324,6 +324,7 @@
     auto& job = *message.message.mutable_pool_job();
     to_wire(call.job, job);
     job.set_offer(call.offer);
+    job.set_beat_sequence(m_peers.sequence());
     job.set_age_ms(static_cast<std::uint32_t>(age.count()));
     if (call.orphan && now < call.over_at)
         for (const auto& worker : call.former)
--- a/src/pool/members.cpp
+++ b/src/pool/members.cpp
@@ -157,6 +157,9 @@
         host.ref = from;
         host.address = address;
     }
+    // One of a former connection, overtaken by later ones: it is no sign of life.
+    if (beat.sequence() <= host.seen_sequence)
+        return nullptr;
     if (host.address != beat.address())
     {
         host.address = beat.address();
@@ -205,6 +208,12 @@
         known->second.withdrawn.emplace_back(now, offer);
 }
 
+bool members::overtaken(const host_ref& ref, std::uint64_t sequence) const
+{
+    const auto* host = find(ref.name);
+    return host != nullptr && host->ref == ref && host->seen_sequence > sequence;
+}
+
 bool members::alive(const std::string& name, microseconds now) const
 {
     const auto* host = find(name);
--- a/src/pool/members.hpp
+++ b/src/pool/members.hpp
@@ -101,7 +101,7 @@
     };
     // Sends the heartbeats that are due; `announce` is asked only then.
     void tick(microseconds now, const std::function<announcement()>& announce, action_list& out);
-    // Takes a heartbeat. Returns the sender, or null for one of an earlier incarnation.
+    // Takes a heartbeat. Returns the sender, or null for one that is out of date.
     peer* on_beat(microseconds now, const host_ref& from, const wire::PoolBeat& beat,
                   action_list& out);
 
@@ -124,6 +124,10 @@
     // Tells a host in every heartbeat, until it has echoed one, that this host has given an offer
     // up. Nothing is to be told to a process that has ended.
     void withdraw(microseconds now, const host_ref& host, std::uint64_t offer);
+    // Of the latest heartbeats.
+    std::uint64_t sequence() const { return m_sequence; }
+    // True if a heartbeat arrived from that host which was sent after this one.
+    bool overtaken(const host_ref& host, std::uint64_t sequence) const;
     // Sends the next heartbeats now: what is held has changed.
     void hurry() { m_next_round = microseconds{0}; }
     // True if this host hears less than half of those that it heard lately.
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -327,14 +327,21 @@
                                           message.former_workers().end());
     const bool cleared = m_pool.cleared(former);
     const bool heard = m_members.hears_us(from, now.steady);
+    // An offer that arrives after a later heartbeat came on another connection; it may have been
+    // withdrawn.
+    const bool overtaken = m_members.overtaken(from, message.beat_sequence());
     // A job that is here stays, also at a pool that is stopping.
-    if (job && heard && (m_pool.has_job(message.id()) || (!m_leaving && cleared)))
+    if (job && heard && !overtaken && (m_pool.has_job(message.id()) || (!m_leaving && cleared)))
         return m_pool.submit(now.steady, std::move(*job), caller, milliseconds{message.age_ms()},
                              out);
-    // Who is declined takes it that nothing of the job is here.
+    // Who is declined takes it that nothing of the job is here, by this offer or an earlier one.
     if (!heard)
         cancel_silent_callers(now, out);
+    m_pool.cancel_earlier(now.steady, message.id(), caller, out);
+    const bool ending = m_pool.ending(message.id());
     const auto reason = !job        ? job.error().message
+                        : ending    ? "former runs are ending"
+                        : overtaken ? "overtaken by a heartbeat"
                         : m_leaving ? "leaving"
                         : !cleared  ? "former workers not cleared"
                                     : "heartbeats not heard";
@@ -345,9 +352,10 @@
     auto& result = *reply.message.mutable_pool_result();
     result.set_offer(message.offer());
     result.set_id(message.id());
-    result.set_kind(
-        static_cast<std::uint32_t>(job ? answer_kind::no_worker_fits : answer_kind::bad_request));
-    result.set_declined(job.has_value());
+    result.set_kind(static_cast<std::uint32_t>(!job     ? answer_kind::bad_request
+                                               : ending ? answer_kind::worker_lost
+                                                        : answer_kind::no_worker_fits));
+    result.set_declined(job && !ending);
     result.set_retry_after_ms(1000);
     result.set_detail(reason);
     out.push_back(std::move(reply));
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -467,6 +467,18 @@
                {answer_kind::cancelled, {}, "nobody waits for it any more"}, false, out);
 }
 
+void worker_pool::cancel_earlier(microseconds now, const std::string& id, const caller_ref& caller,
+                                 action_list& out)
+{
+    const auto job = m_jobs.find(id);
+    if (job == m_jobs.end())
+        return;
+    const auto earlier = job->second.caller;
+    if (earlier.host == caller.host && earlier.incarnation == caller.incarnation &&
+        earlier.offer < caller.offer)
+        cancel(now, earlier, out);
+}
+
 void worker_pool::cancel_callers(microseconds now,
                                  const std::function<bool(const caller_ref&)>& gone,
                                  action_list& out)
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -96,6 +96,9 @@
     // Nobody waits for the job that this offer brought: it ends and its runs are stopped, unless a
     // later offer has brought it again.
     void cancel(microseconds now, const caller_ref& caller, action_list& out);
+    // The same for an earlier offer of this job by the same entry.
+    void cancel_earlier(microseconds now, const std::string& job, const caller_ref& caller,
+                        action_list& out);
     // Cancels the jobs of callers for which `gone` holds.
     void cancel_callers(microseconds now, const std::function<bool(const caller_ref&)>& gone,
                         action_list& out);
@@ -125,6 +128,8 @@
     milliseconds expected_wait(microseconds now) const;
     std::size_t open_jobs() const { return m_jobs.size(); }
     bool has_job(const std::string& job) const { return m_jobs.contains(job); }
+    // True while runs of a job that has ended here are being stopped.
+    bool ending(const std::string& job) const { return m_former.contains(job); }
     std::size_t waiting_jobs(const std::string& route) const;
     bool quiet() const { return m_jobs.empty() && idle().size() == m_workers.size(); }
 
--- a/tests/pool_offers_test.cpp
+++ b/tests/pool_offers_test.cpp
@@ -279,3 +279,56 @@
     test.tick(at_ms(1740));
     BOOST_TEST(withdrawn().back() == 0U);
 }
+
+// An offer that was held up in a former connection comes after heartbeats of the new one, which may
+// have withdrawn it.
+BOOST_AUTO_TEST_CASE(an_offer_that_a_later_heartbeat_has_overtaken_is_declined)
+{
+    pool_host_settings settings;
+    settings.members.self = {"h1", 1};
+    settings.members.data_centre = "dc1";
+    pool_host host(settings);
+    action_list out;
+    const auto receive = [&](std::int64_t ms, wire::PeerMessage message)
+    {
+        message.mutable_from()->set_name("h2");
+        message.mutable_from()->set_incarnation(1);
+        host.on_peer({at_ms(ms), milliseconds{ms}}, message, out);
+    };
+    const auto beat = [&](std::int64_t ms, std::uint64_t sequence)
+    {
+        host.tick({at_ms(ms), milliseconds{ms}}, out);
+        wire::PeerMessage message;
+        auto& text = *message.mutable_pool_beat();
+        text.set_sequence(sequence);
+        text.set_data_centre("dc1");
+        text.set_address("h2");
+        text.set_echoed_sequence(host.hosts().sequence());
+        text.set_echoed_incarnation(1);
+        receive(ms, message);
+    };
+    const auto offer = [&](std::int64_t ms, std::uint64_t sequence)
+    {
+        wire::PeerMessage message;
+        auto& text = *message.mutable_pool_job();
+        text.set_id("job" + std::to_string(sequence));
+        text.set_offer(sequence);
+        text.set_beat_sequence(sequence);
+        text.set_wait_ms(3000);
+        text.add_steps()->set_count(1);
+        out.clear();
+        receive(ms, message);
+        for (const auto& action : out)
+            if (const auto* reply = std::get_if<actions::send_peer>(&action))
+                return reply->message.pool_result().detail();
+        return std::string("no answer");
+    };
+    beat(1000, 1);
+    beat(1200, 2);
+    beat(1400, 3);
+    BOOST_TEST(offer(1401, 2) == "overtaken by a heartbeat");
+    BOOST_TEST(offer(1402, 3) != "overtaken by a heartbeat");
+    // A heartbeat of the former connection is no sign of life either.
+    beat(1800, 2);
+    BOOST_TEST((host.hosts().find("h2")->heard == microseconds{at_ms(1400)}));
+}
