The pools' world plays callers and connections as the platform does

Cause in the world: a caller came back only after outcome::unknown, so never after worker_lost, deadline_passed or cancelled, which the platform sends as 504; a connection never broke while its host lived; a message was either in time or lost.

Change, all of it off unless a schedule asks for it: - pool_world_settings::platform_callers: a caller comes back 1.3 s after every answer that encode_answer sends as 504 and after a broken connection, four times in five in its data centre, at a host that still takes jobs; - reset_caller, reset_callers: its connection breaks while the host lives; - ordered_messages, reset_connection, reset_hosts: one connection for each direction, in order; what is under way at a reset is lost; - cut_centre, and cuts whose messages arrive after they have healed.

--- a/harness/pool_world.cpp
+++ b/harness/pool_world.cpp
@@ -11,9 +11,15 @@
 
 constexpr microseconds tick_time{20000};
 constexpr microseconds come_back_after{1300000};
+constexpr microseconds answer_slack{5000000}; // beyond a caller's wait, for all that may hold up
 constexpr microseconds late_least{
     2000000}; // an order without an answer is carried out 2 to 12 s later
 constexpr microseconds late_most{12000000};
+// A host with a small share of a core gets its turn within one period of the scheduler.
+constexpr microseconds latest_timer{100000};
+// The bus between hosts gives a connection up after this silence.
+constexpr microseconds connection_lost_after{900000};
+constexpr double own_centre_share = 0.8;         // of callers that come back
 constexpr std::int64_t epoch_ms = 1800000000000; // any Unix time
 const char* const service = "desk";
 
@@ -27,6 +33,11 @@
     std::string name;
     std::string data_centre;
     std::vector<std::function<void()>> held_up; // what arrived while it was frozen
+    microseconds deaf_until{0};
+    std::vector<wire::PeerMessage> unheard;
+    // A backlog grows from `slow_from` to half of the time and has gone at `slow_until`.
+    microseconds slow_from{0};
+    microseconds slow_until{0};
 };
 
 pool_world::pool_world(pool_world_settings settings)
@@ -126,6 +137,7 @@
     settings.members.data_centre = slot.data_centre;
     settings.members.address = slot.name;
     slot.logic = std::make_unique<pool_host>(settings);
+    show("start " + slot.name);
     const auto life = ++slot.life;
     decide(index,
            [&](pool_host& host, instant now, action_list& out)
@@ -146,13 +158,16 @@
     slot.logic.reset();
     ++slot.life;
     slot.held_up.clear();
-    slot.frozen_until = microseconds{0};
+    slot.unheard.clear();
+    slot.frozen_until = slot.deaf_until = slot.slow_until = microseconds{0};
+    show("kill " + slot.name);
     break_calls(index);
 }
 
 void pool_world::freeze_host(std::uint32_t index, microseconds time)
 {
     m_hosts[index]->frozen_until = m_now + time;
+    show("freeze " + m_hosts[index]->name + " for " + std::to_string(time.count() / 1000) + " ms");
     at(m_now + time,
        [this, index]
        {
@@ -165,8 +180,43 @@
        });
 }
 
+void pool_world::deafen_host(std::uint32_t index, microseconds time)
+{
+    auto& slot = *m_hosts[index];
+    slot.deaf_until = std::max(slot.deaf_until, m_now + time);
+    show("deafen " + slot.name + " for " + std::to_string(time.count() / 1000) + " ms");
+    at(m_now + time,
+       [this, index]
+       {
+           auto& deaf = *m_hosts[index];
+           if (m_now < deaf.deaf_until)
+               return;
+           for (const auto& message : std::exchange(deaf.unheard, {}))
+               receive(index, message);
+       });
+}
+
+void pool_world::slow_host(std::uint32_t index, microseconds most)
+{
+    auto& slot = *m_hosts[index];
+    if (m_now < slot.slow_until)
+        return;
+    slot.slow_from = m_now;
+    slot.slow_until = m_now + 2 * most;
+    show("slow " + slot.name + " by " + std::to_string(most.count() / 1000) + " ms");
+}
+
+microseconds pool_world::backlog_of(std::uint32_t index) const
+{
+    const auto& slot = *m_hosts[index];
+    if (m_now >= slot.slow_until)
+        return microseconds{0};
+    return std::min(m_now - slot.slow_from, slot.slow_until - m_now);
+}
+
 void pool_world::stop_host(std::uint32_t index)
 {
+    show("stop " + m_hosts[index]->name);
     decide(index,
            [](pool_host& host, instant now, action_list& out) { host.begin_stop(now, out); });
 }
@@ -176,13 +226,53 @@
     return m_hosts[index]->logic.get();
 }
 
-void pool_world::cut_hosts(std::uint32_t a, std::uint32_t b, bool cut)
+void pool_world::cut_hosts(std::uint32_t a, std::uint32_t b, bool cut, bool messages_wait)
 {
     const auto pair = std::minmax(a, b);
     if (cut)
         m_cut_hosts.insert({pair.first, pair.second});
     else
         m_cut_hosts.erase({pair.first, pair.second});
+    for (const auto& way : {std::pair{a, b}, std::pair{b, a}})
+    {
+        if (cut)
+            m_links[way].cut_since = m_now;
+        else
+            release_messages(way.first, way.second);
+        m_links[way].messages_wait = cut && messages_wait;
+    }
+}
+
+void pool_world::cut_centre(std::uint32_t centre, bool cut, bool messages_wait)
+{
+    const auto name = "dc" + std::to_string(centre + 1);
+    show((cut ? "cut off " : "heal ") + name + (messages_wait ? ", messages wait" : ""));
+    for (std::uint32_t host = 0; host < host_count(); ++host)
+    {
+        const bool inside = m_hosts[host]->data_centre == name;
+        for (std::uint32_t other = 0; other < host; ++other)
+            if ((m_hosts[other]->data_centre == name) != inside)
+                cut_hosts(host, other, cut, messages_wait);
+        for (std::uint32_t worker = 0; worker < worker_count(); ++worker)
+            if ((m_workers[worker]->entry().data_centre == name) != inside)
+                cut_worker(host, worker, cut);
+    }
+}
+
+void pool_world::reset_connection(std::uint32_t from, std::uint32_t to, microseconds gap)
+{
+    show("reset " + m_hosts[from]->name + " -> " + m_hosts[to]->name);
+    auto& way = m_links[{from, to}];
+    ++way.connection;
+    way.lost_until = m_now + gap;
+    way.last_arrival = microseconds{0};
+    way.waiting.clear();
+}
+
+void pool_world::reset_hosts(std::uint32_t a, std::uint32_t b, microseconds gap)
+{
+    reset_connection(a, b, gap);
+    reset_connection(b, a, gap);
 }
 
 void pool_world::cut_worker(std::uint32_t host, std::uint32_t worker, bool cut)
@@ -215,12 +305,33 @@
     const auto& slot = *m_hosts[index];
     if (slot.life != life || !slot.logic)
         return;
-    decide(index, [](pool_host& host, instant now, action_list& out) { host.tick(now, out); });
+    const auto late = std::min(backlog_of(index), latest_timer);
+    at_host(index, late,
+            [](pool_host& host, instant now, action_list& out) { host.tick(now, out); });
     at(m_now + tick_time, [this, index, life] { tick(index, life); });
 }
 
 void pool_world::decide(std::uint32_t index,
                         const std::function<void(pool_host&, instant, action_list&)>& what)
+{
+    at_host(index, backlog_of(index), what);
+}
+
+void pool_world::at_host(std::uint32_t index, microseconds late,
+                         const std::function<void(pool_host&, instant, action_list&)>& what)
+{
+    if (late.count() == 0)
+        return handle(index, what);
+    at(m_now + late,
+       [this, index, life = m_hosts[index]->life, what]
+       {
+           if (m_hosts[index]->life == life)
+               handle(index, what);
+       });
+}
+
+void pool_world::handle(std::uint32_t index,
+                        const std::function<void(pool_host&, instant, action_list&)>& what)
 {
     auto& slot = *m_hosts[index];
     if (!slot.logic)
@@ -232,7 +343,7 @@
             [this, index, life, what]
             {
                 if (m_hosts[index]->life == life)
-                    decide(index, what);
+                    handle(index, what);
             });
         return;
     }
@@ -250,19 +361,8 @@
         else if (const auto* message = std::get_if<actions::send_peer>(&action))
         {
             for (std::uint32_t to = 0; to < host_count(); ++to)
-            {
-                if (m_hosts[to]->name != message->host ||
-                    m_cut_hosts.contains(std::minmax(index, to)))
-                    continue;
-                const auto life = m_hosts[to]->life;
-                at(m_now + delay(),
-                   [this, to, life, text = message->message]
-                   {
-                       if (m_hosts[to]->life == life)
-                           decide(to, [text](pool_host& host, instant now, action_list& out)
-                                  { host.on_peer(now, text, out); });
-                   });
-            }
+                if (m_hosts[to]->name == message->host)
+                    send_message(index, to, message->message);
         }
         else if (const auto* hold = std::get_if<actions::hold_worker>(&action))
             order_worker(index, *hold);
@@ -276,6 +376,70 @@
     }
 }
 
+void pool_world::send_message(std::uint32_t from, std::uint32_t to,
+                              const wire::PeerMessage& message)
+{
+    auto& way = m_links[{from, to}];
+    const auto life = m_hosts[to]->life;
+    const bool cut = m_cut_hosts.contains(std::minmax(from, to));
+    if (cut && way.messages_wait && m_now - way.cut_since < connection_lost_after)
+    {
+        show_message(from, to, "waits", message);
+        way.waiting.emplace_back(life, message);
+        return;
+    }
+    if (cut || m_now < way.lost_until)
+        return show_message(from, to, "lost", message);
+    show_message(from, to, "sent", message);
+    put_under_way(from, to, life, in_turn(from, to, m_now + delay()), message);
+}
+
+microseconds pool_world::in_turn(std::uint32_t from, std::uint32_t to, microseconds when)
+{
+    if (!m_settings.ordered_messages)
+        return when;
+    auto& last = m_links[{from, to}].last_arrival;
+    return last = std::max(last, when);
+}
+
+void pool_world::put_under_way(std::uint32_t from, std::uint32_t to, std::uint64_t life,
+                               microseconds when, const wire::PeerMessage& message)
+{
+    at(when,
+       [this, from, to, life, connection = m_links[{from, to}].connection, message]
+       {
+           if (m_hosts[to]->life != life)
+               return;
+           if (m_links[{from, to}].connection != connection)
+               return show_message(from, to, "lost under way", message);
+           receive(to, message);
+       });
+}
+
+void pool_world::receive(std::uint32_t to, const wire::PeerMessage& message)
+{
+    auto& slot = *m_hosts[to];
+    if (m_now < slot.deaf_until)
+        return slot.unheard.push_back(message);
+    decide(to, [message](pool_host& host, instant now, action_list& out)
+           { host.on_peer(now, message, out); });
+}
+
+void pool_world::release_messages(std::uint32_t from, std::uint32_t to)
+{
+    auto& way = m_links[{from, to}];
+    const auto waiting = std::exchange(way.waiting, {});
+    if (waiting.empty() || !m_hosts[from]->logic)
+        return;
+    const auto lasted = m_now - way.cut_since;
+    const auto when =
+        m_now +
+        microseconds{std::uniform_int_distribution<std::int64_t>(0, lasted.count())(m_random)};
+    const bool same_connection = lasted < connection_lost_after;
+    for (const auto& [life, message] : waiting)
+        put_under_way(from, to, life, same_connection ? in_turn(from, to, when) : when, message);
+}
+
 template <class Order>
 void pool_world::order_worker(std::uint32_t index, const Order& order)
 {
@@ -367,9 +531,10 @@
     step.need = need;
     step.estimate = std::chrono::duration_cast<milliseconds>(task_time);
     job.request.steps = {step};
-    job.request.terms = {"r", service, 0, 3, 1.6, milliseconds{60}, milliseconds{3000}};
+    job.request.terms = {"r", service, 0, 3, 1.6, milliseconds{60}, m_settings.caller_wait};
     job.task_time = task_time;
     job.comes_back = comes_back;
+    job.data_centre = m_hosts[host]->data_centre;
     send_call(host, id);
 }
 
@@ -379,9 +544,13 @@
     const auto call = m_calls.size();
     job.calls.push_back(call);
     m_calls.push_back({id, m_now, microseconds{-1}, {}, false});
+    if (trace)
+        show("caller of " + id + " calls " + m_hosts[host]->name);
     if (!m_hosts[host]->logic)
     {
         m_calls[call].broken = true;
+        if (m_settings.platform_callers && job.comes_back)
+            come_back(host, id);
         return;
     }
     decide(host, [call, request = job.request](pool_host& logic, instant now, action_list& out)
@@ -401,6 +570,26 @@
            { logic.on_caller_gone(now, call << 8, out); });
 }
 
+void pool_world::reset_caller(const std::string& id)
+{
+    const auto call = m_jobs.at(id).calls.back();
+    if (m_calls[call].answered.count() >= 0 || m_calls[call].broken)
+        return;
+    const auto host = static_cast<std::uint32_t>(std::stoul(m_calls[call].answer.detail));
+    show("caller of " + id + " is reset");
+    caller_leaves(id);
+    if (m_jobs.at(id).comes_back)
+        come_back(host, id);
+}
+
+void pool_world::reset_callers(std::uint32_t host)
+{
+    show("reset the callers of " + m_hosts[host]->name);
+    for (const auto& [id, job] : m_jobs)
+        if (m_calls[job.calls.back()].answer.detail == std::to_string(host))
+            reset_caller(id);
+}
+
 void pool_world::break_calls(std::uint32_t host)
 {
     for (std::size_t call = 0; call < m_calls.size(); ++call)
@@ -432,12 +621,48 @@
                   << name_of(answer.kind) << '\n';
     if (row_of(answer.kind).result == outcome::not_run && job.starts > 0)
         violated("told that it has not run, but a task had started: " + record.job);
-    if (row_of(answer.kind).result == outcome::unknown && job.comes_back)
+    if (job.comes_back && comes_back_after(answer))
         come_back(host, record.job);
 }
 
+bool pool_world::comes_back_after(const call_answer& answer) const
+{
+    const auto result = row_of(answer.kind).result;
+    if (!m_settings.platform_callers)
+        return result == outcome::unknown;
+    return result != outcome::complete && result != outcome::not_run &&
+           result != outcome::rejected && answer.kind != answer_kind::task_failed;
+}
+
+std::optional<std::uint32_t> pool_world::host_for_caller(const std::string& data_centre)
+{
+    const bool own = std::bernoulli_distribution(own_centre_share)(m_random);
+    std::vector<std::uint32_t> near;
+    std::vector<std::uint32_t> all;
+    for (std::uint32_t host = 0; host < host_count(); ++host)
+    {
+        const auto& slot = *m_hosts[host];
+        if (!slot.logic || !slot.logic->takes_jobs(m_now))
+            continue;
+        all.push_back(host);
+        if (slot.data_centre == data_centre)
+            near.push_back(host);
+    }
+    const auto& from = own && !near.empty() ? near : all;
+    if (from.empty())
+        return std::nullopt;
+    return from[std::uniform_int_distribution<std::size_t>(0, from.size() - 1)(m_random)];
+}
+
 void pool_world::come_back(std::uint32_t host, const std::string& job)
 {
+    if (m_settings.platform_callers)
+    {
+        if (m_jobs.at(job).calls.size() < m_settings.most_calls)
+            at(m_now + come_back_after, [this, host, job]
+               { send_call(host_for_caller(m_jobs.at(job).data_centre).value_or(host), job); });
+        return;
+    }
     at(m_now + come_back_after, [this, host, job] { send_call((host + 1) % host_count(), job); });
 }
 
@@ -454,6 +679,21 @@
         std::cout << "VIOLATION " << m_violations.back() << '\n';
 }
 
+void pool_world::show(const std::string& text) const
+{
+    if (trace)
+        std::cout << m_now.count() / 1000.0 << " " << text << '\n';
+}
+
+void pool_world::show_message(std::uint32_t from, std::uint32_t to, const char* what,
+                              const wire::PeerMessage& message) const
+{
+    if (!trace || message.has_pool_beat())
+        return;
+    show(m_hosts[from]->name + " -> " + m_hosts[to]->name + " " + what + ": " +
+         message.ShortDebugString());
+}
+
 void pool_world::on_started(const std::string& worker, const run_ref& run)
 {
     ++m_starts;
@@ -498,7 +738,7 @@
     }
     for (const auto& record : m_calls)
         if (!record.broken && record.answered.count() < 0 &&
-            m_now - record.sent > std::chrono::seconds{8})
+            m_now - record.sent > m_settings.caller_wait + answer_slack)
             violated("never answered: " + record.job);
     return m_violations;
 }
--- a/harness/pool_world.hpp
+++ b/harness/pool_world.hpp
@@ -25,6 +25,16 @@
     std::int64_t worker_cpu = 16000;
     std::uint64_t seed = 1;
     pool::pool_host_settings host; // names are filled in
+    // How long a caller waits for its answer.
+    milliseconds caller_wait{3000};
+    // A caller comes back after every answer that the platform sends as 504 and after a broken
+    // connection, at a host that takes callers, mostly one of its data centre; it calls at most
+    // `most_calls` times. Without this it comes back after a kill of its host and after
+    // outcome::unknown only, at the next host.
+    bool platform_callers = false;
+    std::uint32_t most_calls = 6;
+    // Messages from one host to another arrive in the order in which they were sent.
+    bool ordered_messages = false;
 };
 
 class pool_world
@@ -37,21 +47,39 @@
     void run_until(microseconds time);
     void at(microseconds time, std::function<void()> what);
 
-    // Submits a job of `count` equal tasks at a host. A caller whose connection breaks, or that is
-    // told that the outcome is unknown, submits it again 1.3 s later at another host, if
-    // `comes_back`.
+    // Submits a job of `count` equal tasks at a host. If `comes_back`, its caller submits it again
+    // 1.3 s later; see pool_world_settings::platform_callers.
     void submit(std::uint32_t host, const std::string& id, std::uint32_t count, pool::room need,
                 microseconds task_time, bool comes_back = false);
     void caller_leaves(const std::string& id);
+    // The caller's connection, or all callers' connections to a host, break while the host lives.
+    void reset_caller(const std::string& id);
+    void reset_callers(std::uint32_t host);
     void make_failing(const std::string& id) { m_failing_jobs.insert(id); }
 
+    std::uint32_t centre_count() const { return m_settings.data_centres; }
     std::uint32_t host_count() const { return static_cast<std::uint32_t>(m_hosts.size()); }
     void kill_host(std::uint32_t host);
     void start_host(std::uint32_t host);
     void freeze_host(std::uint32_t host, microseconds time);
+    // Messages from other hosts wait for this time, in order, while its timers, its callers and its
+    // workers' answers go on.
+    void deafen_host(std::uint32_t host, microseconds time);
+    // All that reaches the host waits in a backlog, which grows to `most` and shrinks again within
+    // twice that time. Timers take turns with the backlog. No effect while there is a backlog.
+    void slow_host(std::uint32_t host, microseconds most);
     void stop_host(std::uint32_t host); // gracefully
     const pool::pool_host* host(std::uint32_t index) const;
-    void cut_hosts(std::uint32_t a, std::uint32_t b, bool cut);
+    // While two hosts are cut from each other their messages are lost. If they wait, those sent
+    // before the connection counts as lost arrive after the cut has healed, within the time for
+    // which it lasted; after a long cut later ones may overtake them on a new connection.
+    void cut_hosts(std::uint32_t a, std::uint32_t b, bool cut, bool messages_wait = false);
+    // Cuts the hosts and workers of a data centre, counted from 0, from all outside it.
+    void cut_centre(std::uint32_t centre, bool cut, bool messages_wait);
+    // The connection is replaced: what is under way, and what is sent within `gap`, is lost. Two
+    // hosts have one connection for each direction; the second function resets both.
+    void reset_connection(std::uint32_t from, std::uint32_t to, microseconds gap);
+    void reset_hosts(std::uint32_t a, std::uint32_t b, microseconds gap);
     void cut_worker(std::uint32_t host, std::uint32_t worker, bool cut);
     std::uint32_t worker_count() const { return static_cast<std::uint32_t>(m_workers.size()); }
     standin::pool_worker_model& worker(std::uint32_t index);
@@ -89,11 +117,23 @@
             return std::tie(when, order) > std::tie(other.when, other.order);
         }
     };
+    // The messages from one host to another.
+    struct link
+    {
+        bool messages_wait = false; // while it is cut
+        microseconds cut_since{0};
+        // With the receiver's life.
+        std::vector<std::pair<std::uint64_t, wire::PeerMessage>> waiting;
+        std::uint64_t connection = 0;
+        microseconds lost_until{0};
+        microseconds last_arrival{0};
+    };
     struct job_record
     {
         pool::job_request request;
         microseconds task_time{0};
         bool comes_back = false;
+        std::string data_centre;                        // of the caller
         std::map<pool::task_name, std::string> running; // task -> worker
         std::map<pool::task_name, std::uint32_t> done;
         std::size_t starts = 0;
@@ -105,7 +145,26 @@
     void tick(std::uint32_t host, std::uint64_t life);
     void decide(std::uint32_t host,
                 const std::function<void(pool::pool_host&, instant, pool::action_list&)>& what);
+    // Decides after the time for which it waits in a backlog.
+    void at_host(std::uint32_t host, microseconds late,
+                 const std::function<void(pool::pool_host&, instant, pool::action_list&)>& what);
+    // Decides now, or after a freeze.
+    void handle(std::uint32_t host,
+                const std::function<void(pool::pool_host&, instant, pool::action_list&)>& what);
     void carry_out(std::uint32_t host, pool::action_list& actions);
+    void send_message(std::uint32_t from, std::uint32_t to, const wire::PeerMessage& message);
+    void put_under_way(std::uint32_t from, std::uint32_t to, std::uint64_t life, microseconds when,
+                       const wire::PeerMessage& message);
+    // The time, or that of the last message on the connection if that is later.
+    microseconds in_turn(std::uint32_t from, std::uint32_t to, microseconds when);
+    void receive(std::uint32_t to, const wire::PeerMessage& message);
+    // Sends what waited for the end of a cut.
+    void release_messages(std::uint32_t from, std::uint32_t to);
+    // How late the host handles what reaches it now.
+    microseconds backlog_of(std::uint32_t host) const;
+    void show(const std::string& text) const;
+    void show_message(std::uint32_t from, std::uint32_t to, const char* what,
+                      const wire::PeerMessage& message) const;
     template <class Order>
     void order_worker(std::uint32_t host, const Order& order);
     template <class Order>
@@ -117,8 +176,10 @@
                    pool::actions::hold_worker order, microseconds until);
     void on_answer(std::uint32_t host, std::uint64_t call, const pool::call_answer& answer);
     void break_calls(std::uint32_t host);
-    // The caller submits the job again, at the host after this one.
+    // The caller submits the job again, at the host after this one or where the platform sends it.
     void come_back(std::uint32_t host, const std::string& job);
+    bool comes_back_after(const pool::call_answer& answer) const;
+    std::optional<std::uint32_t> host_for_caller(const std::string& data_centre);
     void send_call(std::uint32_t host, const std::string& id);
     void advance_workers();
     void on_started(const std::string& worker, const pool::run_ref& run);
@@ -135,6 +196,7 @@
     std::vector<std::unique_ptr<standin::pool_worker_model>> m_workers;
     std::set<std::pair<std::uint32_t, std::uint32_t>> m_cut_hosts;
     std::set<std::pair<std::uint32_t, std::uint32_t>> m_cut_workers;
+    std::map<std::pair<std::uint32_t, std::uint32_t>, link> m_links; // by sender and receiver
     std::map<std::string, job_record> m_jobs;
     std::set<std::string> m_failing_jobs;
     std::vector<call_record> m_calls;
