--- a/harness/pool_schedule.cpp
+++ b/harness/pool_schedule.cpp
@@ -145,6 +145,18 @@
 
 } // namespace
 
+pool_schedule_result result_of(pool_world& world)
+{
+    pool_schedule_result result;
+    result.violations = world.violations();
+    result.calls = world.calls().size();
+    for (const auto& call : world.calls())
+        result.complete +=
+            call.answered.count() >= 0 && call.answer.kind == answer_kind::ok ? 1 : 0;
+    result.starts = world.starts();
+    return result;
+}
+
 pool_schedule_result run_pool_schedule(std::uint64_t seed, bool trace)
 {
     pool_world_settings settings;
@@ -155,14 +167,7 @@
     plan.load();
     plan.faults();
     world.run_until(settle_time + load_time + quiet_time);
-    pool_schedule_result result;
-    result.violations = world.violations();
-    result.calls = world.calls().size();
-    for (const auto& call : world.calls())
-        result.complete +=
-            call.answered.count() >= 0 && call.answer.kind == answer_kind::ok ? 1 : 0;
-    result.starts = world.starts();
-    return result;
+    return result_of(world);
 }
 
 } // namespace egretledge::harness
--- a/harness/pool_schedule.hpp
+++ b/harness/pool_schedule.hpp
@@ -20,6 +20,15 @@
 // failing workers and late orders, then a quiet end.
 pool_schedule_result run_pool_schedule(std::uint64_t seed, bool trace);
 
+// Runs one schedule of the grown kind: 9 s of more and longer jobs on larger data centres, callers
+// that come back as on the platform, data centres that are cut off, hosts that restart in turn, are
+// deaf or slow, connections that are reset and messages that arrive after a cut. The same seed
+// means another schedule than above.
+pool_schedule_result run_grown_pool_schedule(std::uint64_t seed, bool trace);
+
+// What came of a run that has reached its end.
+pool_schedule_result result_of(pool_world& world);
+
 } // namespace egretledge::harness
 
 #endif
--- a/harness/pool_soak_main.cpp
+++ b/harness/pool_soak_main.cpp
@@ -1,8 +1,9 @@
 // egret-pool-soak runs random schedules of pooled hosts and workers.
 //
-//     egret-pool-soak --first 1 --seeds 500 [--trace]
+//     egret-pool-soak --first 1 --seeds 500 [--grown] [--trace]
 //
-// Without --first it draws a first seed and prints it. Exit code 1 if a rule was broken.
+// With --grown it plays larger worlds with the platform's troubles. Without --first it draws a
+// first seed and prints it. Exit code 1 if a rule was broken.
 
 #include "harness/pool_schedule.hpp"
 #include "harness/seeds.hpp"
@@ -16,18 +17,21 @@
     std::uint64_t seeds = 0;
     options.add_options()("help", "print this")("first", po::value(&first)->default_value(0),
                                                 "the first seed; 0 draws one")(
-        "seeds", po::value(&seeds)->default_value(200), "how many")("trace", "print every event");
+        "seeds", po::value(&seeds)->default_value(200), "how many")(
+        "grown", "larger worlds with the platform's troubles")("trace", "print every event");
     po::variables_map given;
     if (const auto code = egretledge::read_options(argc, argv, options, given))
         return *code;
     first = egretledge::harness::first_seed(first);
+    const auto run = given.contains("grown") ? egretledge::harness::run_grown_pool_schedule
+                                             : egretledge::harness::run_pool_schedule;
     std::size_t calls = 0;
     std::size_t complete = 0;
     std::size_t starts = 0;
     std::size_t broken = 0;
     for (std::uint64_t seed = first; seed < first + seeds; ++seed)
     {
-        const auto result = egretledge::harness::run_pool_schedule(seed, given.contains("trace"));
+        const auto result = run(seed, given.contains("trace"));
         calls += result.calls;
         complete += result.complete;
         starts += result.starts;
