The trace of the pools' world names offers, results and cancellations

The messages are of the lite kind and have no text form; a trace told nothing of them. Also when one arrives, so that an order of events can be read off.

--- a/harness/pool_world.cpp
+++ b/harness/pool_world.cpp
@@ -412,6 +412,7 @@
                return;
            if (m_links[{from, to}].connection != connection)
                return show_message(from, to, "lost under way", message);
+           show_message(from, to, "arrives", message);
            receive(to, message);
        });
 }
@@ -688,10 +689,25 @@
 void pool_world::show_message(std::uint32_t from, std::uint32_t to, const char* what,
                               const wire::PeerMessage& message) const
 {
-    if (!trace || message.has_pool_beat())
+    if (!trace)
         return;
-    show(m_hosts[from]->name + " -> " + m_hosts[to]->name + " " + what + ": " +
-         message.ShortDebugString());
+    std::string about;
+    if (message.has_pool_job())
+        about = "offer of " + message.pool_job().id() +
+                " age_ms=" + std::to_string(message.pool_job().age_ms()) +
+                " former_workers=" + std::to_string(message.pool_job().former_workers_size());
+    else if (message.has_pool_result())
+    {
+        const auto& result = message.pool_result();
+        about = "result of " + result.id() + ' ' +
+                std::string(name_of(static_cast<answer_kind>(result.kind()))) +
+                (result.declined() ? " declined" : "") + " \"" + result.detail() + '"';
+    }
+    else if (message.has_pool_cancel())
+        about = "cancel of " + message.pool_cancel().id();
+    else
+        return;
+    show(m_hosts[from]->name + " -> " + m_hosts[to]->name + ' ' + what + ": " + about);
 }
 
 void pool_world::on_started(const std::string& worker, const run_ref& run)
