Grown schedules: callers wait 3 to 8 s, and several hosts are deaf at once

A caller's wait decides whether a job whose pool falls silent is kept or its caller told at once, so it is drawn for each schedule; 8 s hid the second way. On a deployment of small hosts several are too busy to read their peers at once.

--- a/harness/pool_schedule_grown.cpp
+++ b/harness/pool_schedule_grown.cpp
@@ -15,8 +15,9 @@
 
 constexpr microseconds settle_time{2500000};
 constexpr microseconds load_time{9000000};
-constexpr microseconds quiet_time{9000000}; // callers come back, and the longest jobs end
-constexpr milliseconds wait_of_callers{8000};
+constexpr microseconds quiet_time{9000000};     // callers come back, and the longest jobs end
+constexpr std::int64_t shortest_wait_ms = 3000; // of callers
+constexpr std::int64_t longest_wait_ms = 8000;
 constexpr std::uint64_t seed_mark = 0x96047ULL; // other draws than the world's from the same seed
 
 class grown_scheduler
@@ -31,7 +32,7 @@
         about.data_centres = static_cast<std::uint32_t>(whole(2, 3));
         about.hosts_per_centre = static_cast<std::uint32_t>(whole(2, 4));
         about.workers_per_centre = static_cast<std::uint32_t>(whole(6, 16));
-        about.caller_wait = wait_of_callers;
+        about.caller_wait = milliseconds{whole(shortest_wait_ms, longest_wait_ms)};
         about.platform_callers = true;
         about.ordered_messages = true;
         return about;
@@ -211,6 +212,15 @@
         m_world->reset_callers(host);
     }
 
+    // Hosts that are too busy to read their peers' messages, each for a moment.
+    void deafen_hosts()
+    {
+        const auto count = whole(1, 3);
+        for (std::int64_t i = 0; i < count; ++i)
+            after(between_ms(0, 400), [this]
+                  { m_world->deafen_host(a_host(), between_ms(200, chance(0.5) ? 700 : 1500)); });
+    }
+
     void trouble_at_a_worker()
     {
         const auto worker = a_worker();
@@ -242,12 +252,12 @@
         case 2:
             return restarts_in_turn();
         case 3:
-        case 4:
             return resets();
-        case 5:
+        case 4:
             return reset_host();
+        case 5:
         case 6:
-            return m_world->deafen_host(a_host(), between_ms(200, 1500));
+            return deafen_hosts();
         case 7:
             return m_world->slow_host(a_host(), between_ms(100, 1500));
         case 8:
