Timers run between the events of a backlog

What callers would see: a job that is placed anew while its former pool still runs it; hosts that take each other for dead. Cause: timers run when the event queue lets them. At a host of 0.12 cores with a backlog they ran half a second apart, while workers' leases were renewed as their answers came in. The time after which nothing runs for a silent caller's host assumes that the pool looks every 20 ms. Change: an event that comes more than 60 ms after the last timers runs them first. Figures: heartbeats_go_out_on_time_while_events_wait_in_a_backlog fails before (0 heartbeats in a second) and passes.

--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -89,8 +89,15 @@
     m_pool.on_registry(m_registry);
 }
 
+void pool_host::keep_time(instant now, action_list& out)
+{
+    if (now.steady - m_last_tick > m_settings.latest_tick)
+        tick(now, out);
+}
+
 void pool_host::tick(instant now, action_list& out)
 {
+    m_last_tick = now.steady;
     m_members.tick(
         now.steady,
         [&]
@@ -245,6 +252,7 @@
 
 void pool_host::on_job(instant now, std::uint64_t call, job_request job, action_list& out)
 {
+    keep_time(now, out);
     if (too_large(job))
     {
         const auto answer =
@@ -280,6 +288,7 @@
 void pool_host::on_worker(instant now, std::uint64_t request, const worker_reply& reply,
                           action_list& out)
 {
+    keep_time(now, out);
     m_pool.on_worker(now.steady, request, reply, out);
     pass_results(now, out);
     stamp(out);
@@ -373,6 +382,7 @@
 std::optional<std::string> pool_host::on_peer(instant now, const wire::PeerMessage& message,
                                               action_list& out)
 {
+    keep_time(now, out);
     const auto from = egretledge::from_wire(message.from());
     std::optional<std::string> published;
     switch (message.body_case())
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -26,6 +26,9 @@
     steward_settings steward;
     started_jobs_settings started;
     milliseconds steward_every{40};
+    // While events wait in a backlog timers run between them, at the latest after this time: half
+    // of a heartbeat interval.
+    milliseconds latest_tick{60};
     // A worker of another data centre is taken only after it could be reached for this long while
     // no host announced it: when a cut heals, its holder's heartbeats come within that time.
     milliseconds away_patience{1200};
@@ -99,6 +102,8 @@
     const started_jobs& started() const { return m_started; }
 
 private:
+    // Runs the timers if they are overdue.
+    void keep_time(instant now, action_list& out);
     void take_and_yield(instant now, action_list& out);
     bool too_large(const job_request& job) const;
     bool may_try(const std::string& worker, instant now);
@@ -128,6 +133,7 @@
     started_jobs m_started;
     entry m_entry;
     microseconds m_next_steward{0};
+    microseconds m_last_tick{0};
     std::uint64_t m_announced = 0; // the held_version at the last round of the steward
     bool m_leaving = false;
     microseconds m_leaving_since{0};
--- a/tests/pool_world_test.cpp
+++ b/tests/pool_world_test.cpp
@@ -134,6 +134,31 @@
     BOOST_TEST((host.stop_progress(at_ms(6800)) == stop_stage::overdue));
 }
 
+// Incident TWICE: at a host with a backlog timers ran half a second apart, while leases were
+// renewed as answers came in.
+BOOST_AUTO_TEST_CASE(heartbeats_go_out_on_time_while_events_wait_in_a_backlog)
+{
+    pool_host_settings settings;
+    settings.members.self = {"h1", 1};
+    pool_host host(settings);
+    action_list out;
+    host.tick({at_ms(1000), 1000ms}, out);
+    host.introduce({at_ms(1000), 1000ms}, "h2", "h2", out);
+    out.clear();
+    wire::PeerMessage message;
+    message.mutable_from()->set_name("h3");
+    message.mutable_pool_config();
+    for (std::int64_t ms = 1000; ms <= 2000; ms += 5)
+        host.on_peer({at_ms(ms), milliseconds{ms}}, message, out);
+    const auto beats = std::count_if(out.begin(), out.end(),
+                                     [](const action& one)
+                                     {
+                                         const auto* sent = std::get_if<actions::send_peer>(&one);
+                                         return sent != nullptr && sent->message.has_pool_beat();
+                                     });
+    BOOST_TEST(beats >= 5);
+}
+
 BOOST_AUTO_TEST_CASE(a_dead_hosts_workers_run_again_within_a_second)
 {
     pool_world world({});
