A lease is not extended while a stop may be lost

What callers would see: a run of a job that has ended here goes on beside one elsewhere. Cause: the lease is the worker's, for all its runs. A stop that gets no answer is repeated, but meanwhile the lease was renewed for the other runs of the worker, so the run to be stopped lived on as long as stops got lost. The class is that of the heartbeats: a tie that is renewed as a whole, and single ends that may be lost. Change: holds and starts carry the lease that was last sent until the worker has accepted the stop; that takes 1 to 3 ms when nothing is lost.

--- a/src/pool/held_worker.cpp
+++ b/src/pool/held_worker.cpp
@@ -97,10 +97,19 @@
     return slowest > static_cast<double>(m_lease_sent_ms + lapse_margin_ms);
 }
 
+bool held_worker::stop_in_doubt() const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(),
+                       [](const auto& entry)
+                       { return entry.second.view.stopping && !entry.second.stop_known; });
+}
+
 std::int64_t held_worker::next_lease(microseconds now)
 {
     if (!m_clock_known)
         return 0;
+    if (stop_in_doubt())
+        return m_lease_sent_ms;
     const auto until = clock_estimate(now) + m_settings.lease.count();
     m_lease_sent_ms = std::max(m_lease_sent_ms, until);
     return until;
@@ -219,6 +228,9 @@
     case order_kind::stop:
         if (reply.result == order_result::other_lifetime)
             lose(reply.result, events);
+        else if (const auto run = m_runs.find(order.run);
+                 run != m_runs.end() && reply.result == order_result::accepted)
+            run->second.stop_known = true;
         break;
     }
     for (auto& [ref, state] : m_runs)
--- a/src/pool/held_worker.hpp
+++ b/src/pool/held_worker.hpp
@@ -116,6 +116,7 @@
         std::uint64_t fence = 0;   // of the start
         microseconds confirmed{0}; // when this host knew that it runs
         microseconds stop_sent{0};
+        bool stop_known = false; // the worker has accepted the stop
     };
     enum class order_kind : std::uint8_t
     {
@@ -134,6 +135,9 @@
     milliseconds renew() const { return m_lossy ? m_settings.renew_lossy : m_settings.renew; }
     std::int64_t clock_estimate(microseconds now) const;
     bool lease_surely_over(microseconds now) const;
+    // True while a stop may have been lost. The lease is not extended meanwhile: it is that of all
+    // runs, and is what ends the run if no stop arrives.
+    bool stop_in_doubt() const;
     std::int64_t next_lease(microseconds now);
     void send_hold(microseconds now, milliseconds wait, std::uint64_t& next_request,
                    action_list& out);
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -191,6 +191,35 @@
     BOOST_TEST(pool.counts().starts == 2U); // nothing of it starts beside the former runs
 }
 
+// A run whose stop is lost on its way would live on under the lease that other runs renew.
+BOOST_AUTO_TEST_CASE(a_lease_is_not_extended_while_a_stop_may_be_lost)
+{
+    by_hand test;
+    test.take();
+    const run_ref second_run{{"other", 0, 0, 0}, 1};
+    for (const auto& run : {first_run, second_run})
+    {
+        test.worker.start(at_ms(10), run, a_task, "p", test.next, test.out);
+        test.reply(at_ms(12), test.last<actions::start_run>().request, by_hand::accepted(5010));
+    }
+    const auto lease = test.last<actions::start_run>().lease_until_ms;
+    test.worker.stop(at_ms(100), first_run, test.next, test.out);
+    const auto hold = [&](std::int64_t ms)
+    {
+        auto text = by_hand::accepted(5000 + ms);
+        text.running = {{first_run, 10}, {second_run, 10}};
+        test.reply(at_ms(ms), test.last<actions::hold_worker>().request, text);
+        return test.last<actions::hold_worker>().lease_until_ms;
+    };
+    BOOST_TEST(hold(260) == lease);
+    const auto again = test.last<actions::stop_run>();
+    test.reply(at_ms(310), again.request, {}); // no answer
+    BOOST_TEST(hold(510) == lease);
+    test.worker.tick(at_ms(520), test.next, test.out, test.events);
+    test.reply(at_ms(530), test.last<actions::stop_run>().request, by_hand::accepted(5530));
+    BOOST_TEST(hold(560) > lease);
+}
+
 BOOST_AUTO_TEST_CASE(runs_on_a_silent_worker_end_only_when_their_lease_surely_has)
 {
     by_hand test;
