Withdrawing an own note forgets nothing that was heard of a job elsewhere

"Not run" could be said of a job of which another host had announced a start. Cause: own notes and news of other hosts shared one set, so that a start here which proved to have had no effect took the job out of it, also when a peer had announced the job before or since. A note that was withdrawn after a change of generations stayed instead. Evidence: started_jobs_keeps_what_was_heard_when_an_own_note_is_withdrawn fails before in both orders of events. Change: own notes are counted in a map of their own, by job and with their latest time; what is heard stays in the two generations. A job is known while either names it. A second note of a job is announced again (8 bytes). Own notes are known for 10 s instead of 10 to 20 s, the stated time.

--- a/src/pool/started_jobs.cpp
+++ b/src/pool/started_jobs.cpp
@@ -1,5 +1,4 @@
 #include "pool/started_jobs.hpp"
-#include <algorithm>
 #include <xxhash.h>
 
 namespace egretledge::pool
@@ -17,12 +16,16 @@
 
 void started_jobs::make_room(microseconds now)
 {
-    while (!m_own.empty() && now - m_own.front().when > m_settings.remember)
-        m_own.pop_front();
-    if (now - m_generation < m_settings.remember && m_known.size() < m_settings.most_known / 2)
+    for (; !m_own.empty() && now - m_own.front().when > m_settings.remember; m_own.pop_front())
+    {
+        const auto noted = m_noted.find(m_own.front().hash);
+        if (noted != m_noted.end() && noted->second.when == m_own.front().when)
+            m_noted.erase(noted);
+    }
+    if (now - m_generation < m_settings.remember && m_heard.size() < m_settings.most_known / 2)
         return;
-    m_older = std::move(m_known);
-    m_known.clear();
+    m_older = std::move(m_heard);
+    m_heard.clear();
     m_generation = now;
 }
 
@@ -30,35 +33,23 @@
 {
     make_room(now);
     const auto hash = hash_of(job);
-    if (!m_known.insert(hash).second)
-        if (const auto own = find_own(hash); own != m_own.rend())
-        {
-            ++own->notes;
-            return;
-        }
+    auto& noted = m_noted[hash];
+    ++noted.notes;
+    noted.when = now;
     m_own.push_back({now, hash});
 }
 
-std::deque<started_jobs::own_note>::reverse_iterator started_jobs::find_own(std::uint64_t hash)
-{
-    return std::find_if(m_own.rbegin(), m_own.rend(),
-                        [&](const own_note& entry) { return entry.hash == hash; });
-}
-
 void started_jobs::withdraw(const std::string& job)
 {
-    const auto hash = hash_of(job);
-    const auto own = find_own(hash);
-    if (own == m_own.rend() || --own->notes > 0)
-        return;
-    m_own.erase(std::next(own).base());
-    m_known.erase(hash);
+    const auto noted = m_noted.find(hash_of(job));
+    if (noted != m_noted.end() && --noted->second.notes == 0)
+        m_noted.erase(noted);
 }
 
 bool started_jobs::may_have_started(const std::string& job) const
 {
     const auto hash = hash_of(job);
-    return m_known.contains(hash) || m_older.contains(hash);
+    return m_noted.contains(hash) || m_heard.contains(hash) || m_older.contains(hash);
 }
 
 } // namespace egretledge::pool
--- a/src/pool/started_jobs.hpp
+++ b/src/pool/started_jobs.hpp
@@ -15,6 +15,7 @@
 // refusal would cost most when hosts are busiest.
 
 #include "pool/pool_types.hpp"
+#include <boost/unordered/unordered_flat_map.hpp>
 #include <boost/unordered/unordered_flat_set.hpp>
 #include <deque>
 
@@ -23,8 +24,8 @@
 
 struct started_jobs_settings
 {
-    // A job is known for this long to twice as long. Callers wait 1.5 s and come back 1.3 s later,
-    // and some come back seconds after their answer.
+    // A job is known for this long, one heard of for up to twice as long. Callers wait 1.5 s and
+    // come back 1.3 s later, and some come back seconds after their answer.
     milliseconds remember{10000};
     // The most jobs in one heartbeat (32 KB); a receiver that is further behind was cut off.
     std::size_t most_announced = 4096;
@@ -39,15 +40,15 @@
 
     // A start of this job was sent from here, or a run of it was found on a worker.
     void note(microseconds now, const std::string& job);
-    // The start that the latest note was for had no effect. If no other note of the job stands, it
-    // is not announced any more; who heard of it already keeps it.
+    // What one note was for had no effect. If no other note of the job stands, it is not announced
+    // any more; who heard of it already keeps it, as this host does if it heard of it elsewhere.
     void withdraw(const std::string& job);
     // A peer announced these hashes.
     template <class Hashes>
     void note_heard(microseconds now, const Hashes& hashes)
     {
         make_room(now);
-        m_known.insert(hashes.begin(), hashes.end());
+        m_heard.insert(hashes.begin(), hashes.end());
     }
     bool may_have_started(const std::string& job) const;
 
@@ -60,27 +61,35 @@
         {
             if (entry->when < since)
                 return;
-            out.Add(entry->hash);
+            const auto noted = m_noted.find(entry->hash);
+            if (noted != m_noted.end() && noted->second.when == entry->when)
+                out.Add(entry->hash);
         }
     }
-    std::size_t known() const { return m_known.size() + m_older.size(); }
+    std::size_t known() const { return m_heard.size() + m_older.size() + m_noted.size(); }
 
 private:
     struct own_note
+    {
+        microseconds when{0}; // the latest note
+        std::uint32_t notes = 0;
+    };
+    // One for each note; only the latest of a job that stands is announced.
+    struct note_line
     {
         microseconds when{0};
         std::uint64_t hash = 0;
-        std::uint32_t notes = 1; // by submissions of the same job
     };
-    std::deque<own_note>::reverse_iterator find_own(std::uint64_t hash);
-    // Begins a new generation when the present one is old or full.
+    // Forgets old notes, and begins a new generation of what was heard when the present one is old
+    // or full.
     void make_room(microseconds now);
 
     started_jobs_settings m_settings;
-    boost::unordered_flat_set<std::uint64_t> m_known;
+    boost::unordered_flat_set<std::uint64_t> m_heard;
     boost::unordered_flat_set<std::uint64_t> m_older;
     microseconds m_generation{0};
-    std::deque<own_note> m_own;
+    boost::unordered_flat_map<std::uint64_t, own_note> m_noted;
+    std::deque<note_line> m_own;
 };
 
 } // namespace egretledge::pool
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -373,6 +373,24 @@
     BOOST_TEST(!jobs.may_have_started("refused by its worker"));
 }
 
+// A caller's host may offer a job that it heard of elsewhere, and the pool may decline.
+BOOST_AUTO_TEST_CASE(started_jobs_keeps_what_was_heard_when_an_own_note_is_withdrawn)
+{
+    started_jobs elsewhere({});
+    elsewhere.note(at_ms(10), "before");
+    elsewhere.note(at_ms(10), "after");
+    wire::PoolBeat beat;
+    elsewhere.announce(at_ms(0), *beat.mutable_started());
+    started_jobs jobs({});
+    jobs.note(at_ms(15), "after");
+    jobs.note_heard(at_ms(20), beat.started());
+    jobs.note(at_ms(25), "before");
+    jobs.withdraw("before");
+    jobs.withdraw("after");
+    BOOST_TEST(jobs.may_have_started("before"));
+    BOOST_TEST(jobs.may_have_started("after"));
+}
+
 // Seen on trouble-1 of kalinaw-egret: entries of crashed workers were taken 25 times a second.
 BOOST_AUTO_TEST_CASE(a_worker_whose_lifetime_is_over_is_left_alone_until_it_begins_anew)
 {
