"Not run" waits until a silent host's workers have been read

Cause: its host started it for its own caller 18 ms before it was killed, so no heartbeat told of it. When the caller came back 1.3 s later nobody had taken that host's workers, whose lists show the runs, and the host it came back to took silence for the absence of starts. Ruled out: news that were lost or late (no heartbeat was sent between start and kill); a wrong reading of the lists (they were not read until 15.42 s); the caller's host as a second source (it is the host that died). Change: unread_workers keeps, for each host that was heard within 10 s and is silent, or began anew, without having left, those workers it announced last that no live host has read since. Heartbeats name held workers whose lists the sender has not read (PoolBeat.unread); a heartbeat without the name carries what was found. While one of them can be read, refusals are "unknown". A worker can be read if it is listed, does not leave, and has a live host in its data centre or an answer to a probe of this host (one worker a silent host and 300 ms). So a data centre that is cut off with its hosts and workers changes no refusal outside: refusals_outside_a_cut_off_data_centre_stay_not_run. The condition is evaluated once a round of the steward (40 ms), only while a host is silent; a refusal reads a flag. Why it works: whoever could have started the job is either heard, or its workers are awaited; the lists that show the start come with, or before, the heartbeat that ends the waiting.

--- a/src/pool/entry.cpp
+++ b/src/pool/entry.cpp
@@ -398,6 +398,8 @@
         return {answer_kind::worker_lost, {}, "it started elsewhere: " + answer.detail};
     if (!m_peers.knows_of_others(now))
         return {answer_kind::worker_lost, {}, "cut off from the other hosts: " + answer.detail};
+    if (m_started.news_awaited())
+        return {answer_kind::worker_lost, {}, "a silent host's workers not read: " + answer.detail};
     return answer;
 }
 
--- a/src/pool/members.cpp
+++ b/src/pool/members.cpp
@@ -122,6 +122,8 @@
         for (const auto& worker : about.held)
             beat.add_held(worker);
     }
+    for (const auto& worker : about.unread)
+        beat.add_unread(worker);
     if (about.started != nullptr)
         about.started->announce(to.echo_sent, *beat.mutable_started());
     out.push_back(std::move(message));
@@ -184,6 +186,7 @@
         host.held_version = beat.held_version();
         host.held = {beat.held().begin(), beat.held().end()};
     }
+    host.unread = {beat.unread().begin(), beat.unread().end()};
     if (beat.echoed_incarnation() == m_settings.self.incarnation)
     {
         host.echoed_held = beat.echoed_held_version();
@@ -237,6 +240,22 @@
     return past->second;
 }
 
+std::vector<members::silent_host> members::fell_silent(microseconds now) const
+{
+    std::vector<silent_host> hosts;
+    const auto add = [&](const host_ref& ref, const std::set<std::string>& held, microseconds heard)
+    {
+        if (!held.empty() && heard.count() >= 0 && now - heard <= m_settings.remember_peers)
+            hosts.push_back({ref, &held});
+    };
+    for (const auto& [name, host] : m_peers)
+        if (!host.leaving && !alive(name, now))
+            add(host.ref, host.held, host.heard);
+    for (const auto& [ref, life] : m_past)
+        add(ref, life.held, life.heard);
+    return hosts;
+}
+
 members::roll members::hosts_of_late(microseconds now, bool with_introduced) const
 {
     roll hosts;
--- a/src/pool/members.hpp
+++ b/src/pool/members.hpp
@@ -63,6 +63,7 @@
     std::uint64_t held_version = 0;      // of `held`
     std::uint64_t announced_version = 0; // the latest one; `held` may not have come yet
     std::set<std::string> held;
+    std::set<std::string> unread; // of `held`: their lists were not read yet
     std::uint32_t held_count = 0;
     bool settled = false;
 
@@ -91,6 +92,7 @@
         load_report load;
         std::uint64_t held_version = 0;
         std::vector<std::string> held;
+        std::vector<std::string> unread;
         const started_jobs* started = nullptr; // null: none are announced
     };
     // Sends the heartbeats that are due; `announce` is asked only then.
@@ -115,6 +117,15 @@
         microseconds heard{0};
     };
     std::optional<past_life> last_seen(const host_ref& host) const;
+    // Hosts that fell silent, or began anew, without leaving in order, and were heard within
+    // `remember_peers`; with the workers that they announced last. `held` is valid until the next
+    // heartbeat.
+    struct silent_host
+    {
+        host_ref ref;
+        const std::set<std::string>* held = nullptr;
+    };
+    std::vector<silent_host> fell_silent(microseconds now) const;
     // Sends the next heartbeats now: what is held has changed.
     void hurry() { m_next_round = microseconds{0}; }
     // True if this host hears less than half of those that it heard lately.
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -4,7 +4,10 @@
 
 #include "pool/pool_host.hpp"
 #include "core/wire.hpp"
+#include <algorithm>
 #include <functional>
+#include <iterator>
+#include <xxhash.h>
 
 namespace egretledge::pool
 {
@@ -20,7 +23,9 @@
                                              about.data_centre = m_settings.members.data_centre;
                                              return about;
                                          }(),
-                                         m_members, m_pool, m_started)
+                                         m_members, m_pool, m_started),
+      m_probe_seed(
+          XXH3_64bits(m_settings.members.self.name.data(), m_settings.members.self.name.size()))
 {
     m_pool.set_visibility(
         [this](const caller_ref& caller)
@@ -101,6 +106,7 @@
                                           m_pool.expected_wait(now.steady)},
                                          m_pool.held_version(),
                                          m_pool.held(),
+                                         m_pool.unread(),
                                          &m_started};
         },
         out);
@@ -118,6 +124,7 @@
     {
         m_next_steward = now.steady + m_settings.steward_every;
         take_and_yield(now, out);
+        await_lists(now, out);
     }
     pass_results(now, out);
     stamp(out);
@@ -218,6 +225,59 @@
         m_members.hurry();
 }
 
+void pool_host::await_lists(instant now, action_list& out)
+{
+    const auto silent = m_members.fell_silent(now.steady);
+    std::set<std::string> read;
+    std::set<std::string> data_centres;
+    if (!silent.empty())
+    {
+        if (!m_leaving)
+            data_centres.insert(m_settings.members.data_centre);
+        for (const auto& [name, host] : m_members.all())
+        {
+            if (!m_members.alive(name, now.steady))
+                continue;
+            std::set_difference(host.held.begin(), host.held.end(), host.unread.begin(),
+                                host.unread.end(), std::inserter(read, read.end()));
+            if (!host.leaving)
+                data_centres.insert(host.data_centre);
+        }
+    }
+    const auto entry_of = [&](const std::string& id)
+    {
+        const auto known = m_registry.find(id);
+        return known == m_registry.end() ? nullptr : &known->second;
+    };
+    m_unread.update(silent, {[&](const std::string& id)
+                             {
+                                 const auto* own = m_pool.find(id);
+                                 return read.contains(id) || (own != nullptr && own->taken());
+                             },
+                             [&](const std::string& id)
+                             {
+                                 const auto* entry = entry_of(id);
+                                 return entry != nullptr && !entry->leaving;
+                             },
+                             [&](const std::string& id)
+                             {
+                                 const auto* entry = entry_of(id);
+                                 return entry != nullptr &&
+                                        data_centres.contains(entry->data_centre);
+                             },
+                             [&](const std::string& id)
+                             { return m_pool.reachable_for(id, now.steady, milliseconds{0}); }});
+    const auto turn = static_cast<std::uint64_t>(now.steady / m_settings.probe_turn);
+    for (const auto& id : m_unread.to_probe(m_probe_seed + turn))
+        m_pool.probe(now.steady, m_registry.at(id), out);
+    if (m_unread.awaited() != m_started.news_awaited())
+        out.push_back(actions::log_event{
+            m_unread.awaited(), std::string("event=lists_awaited silent_hosts=") +
+                                    std::to_string(silent.size()) +
+                                    " awaited=" + (m_unread.awaited() ? "true" : "false")});
+    m_started.await_news(m_unread.awaited());
+}
+
 // True if workers of the service are listed and none of them is large enough for some step.
 bool pool_host::too_large(const job_request& job) const
 {
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -14,6 +14,7 @@
 #include "pool/entry.hpp"
 #include "pool/routes.hpp"
 #include "pool/steward.hpp"
+#include "pool/unread_workers.hpp"
 
 namespace egretledge::pool
 {
@@ -29,6 +30,9 @@
     // A worker of another data centre is taken only after it could be reached for this long while
     // no host announced it: when a cut heals, its holder's heartbeats come within that time.
     milliseconds away_patience{1200};
+    // Whether the workers of a silent host with no live neighbour can be reached is asked one of
+    // them in turn, each for this long.
+    milliseconds probe_turn{300};
     // A host that is cut off from the others takes a silent holder's workers one by one,
     // `trial_every` apart, after this silence. One that still runs something, although leases have
     // ended by then, shows that its holder lives; then nothing more is taken for `trial_pause`.
@@ -105,6 +109,8 @@
     void judge_trials(instant now);
     bool may_take(const worker_entry& entry, instant now, action_list& out);
     void note_starts(instant now);
+    // Whether "not run" has to wait for the lists of a silent host's workers.
+    void await_lists(instant now, action_list& out);
     void pass_results(instant now, action_list& out);
     void on_pool_job(instant now, const host_ref& from, const wire::PoolJob& message,
                      action_list& out);
@@ -125,6 +131,8 @@
     worker_pool m_pool;
     started_jobs m_started;
     entry m_entry;
+    unread_workers m_unread;
+    std::uint64_t m_probe_seed; // so that hosts do not all probe the same worker
     microseconds m_next_steward{0};
     std::uint64_t m_announced = 0; // the held_version at the last round of the steward
     bool m_leaving = false;
--- a/src/pool/started_jobs.hpp
+++ b/src/pool/started_jobs.hpp
@@ -8,7 +8,8 @@
 // first start on until the receiver has echoed a heartbeat that came later; so does the caller's
 // host for a job that it offered to another one's pool, and a host that takes over a dead one's
 // workers for what it finds on them. So the news takes one heartbeat, while a caller comes back a
-// second later.
+// second later. After a death the last heartbeat may be missing: then `await_news` says so until
+// the dead host's workers have been read.
 //
 // Jobs are kept as 64-bit hashes, 8 bytes each on the wire. Two jobs that share a hash cost one of
 // them an honest "unknown" instead of "not run". The trade-off: every host hears of every job,
@@ -53,6 +54,9 @@
         m_heard.insert(hashes.begin(), hashes.end());
     }
     bool may_have_started(const std::string& job) const;
+    // Whether starts may have happened of which no news could come yet.
+    void await_news(bool awaited) { m_news_awaited = awaited; }
+    bool news_awaited() const { return m_news_awaited; }
 
     // Appends to `out` what was noted at or after `since`, the newest first, up to the limit.
     template <class Field>
@@ -92,6 +96,7 @@
     microseconds m_generation{0};
     boost::unordered_flat_map<std::uint64_t, own_note> m_noted;
     std::deque<note_line> m_own;
+    bool m_news_awaited = false;
 };
 
 } // namespace egretledge::pool
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -140,6 +140,15 @@
     return names;
 }
 
+std::vector<std::string> worker_pool::unread() const
+{
+    std::vector<std::string> names;
+    for (const auto& [id, record] : m_workers)
+        if (!record.worker.taken())
+            names.push_back(id);
+    return names;
+}
+
 std::size_t worker_pool::waiting_jobs(const std::string& route) const
 {
     return static_cast<std::size_t>(std::count_if(
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -86,6 +86,8 @@
     const held_worker* find(const std::string& worker) const;
     std::vector<std::string> held() const;
     std::vector<std::string> idle() const;
+    // Those held here that have not accepted a hold yet: what they list is not known.
+    std::vector<std::string> unread() const;
     // Rises whenever the set of held workers changes.
     std::uint64_t held_version() const { return m_held_version; }
 
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -391,6 +391,49 @@
     BOOST_TEST(jobs.may_have_started("after"));
 }
 
+// What a silent host started last is known once its workers were read, if anybody can read them.
+BOOST_AUTO_TEST_CASE(lists_are_awaited_until_each_worker_was_read_that_can_be)
+{
+    const std::set<std::string> held{"w1", "w2"};
+    const std::vector<members::silent_host> silent{{{"h1", 1}, &held}};
+    std::set<std::string> read;
+    std::set<std::string> listed = held;
+    std::set<std::string> near; // workers that a live host of their data centre can take
+    std::set<std::string> answering;
+    const auto in = [](const std::set<std::string>& names)
+    { return [&names](const std::string& name) { return names.contains(name); }; };
+    const unread_workers::oracle about{in(read), in(listed), in(near), in(answering)};
+    unread_workers unread;
+    const auto awaited = [&]
+    {
+        unread.update(silent, about);
+        return unread.awaited();
+    };
+
+    // A data centre out of reach: probed, one worker by turns, and not waited for.
+    BOOST_TEST(!awaited());
+    BOOST_REQUIRE(unread.to_probe(0).size() == 1U);
+    BOOST_TEST(unread.to_probe(0).front() != unread.to_probe(1).front());
+    answering = {"w2"};
+    BOOST_TEST(awaited());
+    answering.clear();
+
+    near = held;
+    BOOST_TEST(awaited());
+    BOOST_TEST(unread.to_probe(0).empty());
+    read = {"w1"};
+    BOOST_TEST(awaited());
+    read = {"w2"}; // a worker that was read once stays read
+    BOOST_TEST(!awaited());
+
+    // The host was heard again, and falls silent once more.
+    unread.update({}, about);
+    BOOST_TEST(!unread.awaited());
+    BOOST_TEST(awaited());
+    listed = {"w2"};
+    BOOST_TEST(!awaited());
+}
+
 // Seen on trouble-1 of kalinaw-egret: entries of crashed workers were taken 25 times a second.
 BOOST_AUTO_TEST_CASE(a_worker_whose_lifetime_is_over_is_left_alone_until_it_begins_anew)
 {
--- a/tests/pool_world_test.cpp
+++ b/tests/pool_world_test.cpp
@@ -434,6 +434,34 @@
     BOOST_TEST(world.violations().empty());
 }
 
+// Pool seed 5024: a host started a job within its last heartbeat, and the caller came back before
+// anybody had taken that host's workers.
+BOOST_AUTO_TEST_CASE(a_job_that_a_dying_host_just_started_is_not_called_not_run_elsewhere)
+{
+    pool_world world({});
+    world.run_until(at_ms(2500));
+    const std::uint32_t holder = held_by(world, 0) > 0 ? 0 : 1;
+    world.submit(holder, "order", 4, a_task, 900ms);
+    world.run_until(at_ms(2515));
+    BOOST_REQUIRE(world.starts() > 0U);
+    world.kill_host(0);
+    world.kill_host(1); // nobody of the data centre is left, so its workers are taken late
+    world.run_until(at_ms(3795));
+    for (std::uint32_t i = 0; i < 400; ++i)
+        world.submit(2 + i % 4, "flood" + std::to_string(i), 12, a_task, 900ms);
+    world.run_until(at_ms(3815));
+    world.submit(3, "order", 4, a_task, 900ms);
+    world.run_until(at_ms(9000));
+    BOOST_TEST((world.last_call("order")->answer.kind == answer_kind::worker_lost));
+    BOOST_TEST(world.violations().empty());
+
+    // Once the workers were read, honest refusals are given again.
+    for (std::uint32_t i = 0; i < 400; ++i)
+        world.submit(2 + i % 4, "again" + std::to_string(i), 12, a_task, 900ms);
+    world.run_until(at_ms(9020));
+    BOOST_TEST((world.last_call("again399")->answer.kind == answer_kind::over_capacity));
+}
+
 namespace
 {
 
@@ -476,3 +504,25 @@
     BOOST_TEST((world.last_call("other")->answer.kind == answer_kind::no_worker_fits));
     BOOST_TEST(world.violations().empty());
 }
+
+// Who is refused outside a cut may go away; nobody can read the cut-off workers before it heals.
+BOOST_AUTO_TEST_CASE(refusals_outside_a_cut_off_data_centre_stay_not_run)
+{
+    pool_world world({});
+    world.run_until(at_ms(2500));
+    cut_first_centre(world);
+    load(world, 2500, 8000, 4, 4, 900ms, 6);
+    world.run_until(at_ms(8000));
+    std::size_t refused = 0;
+    for (const auto& call : world.calls())
+        if (call.answered.count() >= 0 && call.sent > at_ms(3500))
+            refused += row_of(call.answer.kind).result == outcome::not_run ? 1 : 0;
+    BOOST_TEST(refused > 100U);
+    std::size_t unknown = 0;
+    for (const auto& call : world.calls())
+        if (call.answered.count() >= 0 && call.sent > at_ms(3500) &&
+            call.answer.detail.find("not read") != std::string::npos)
+            ++unknown;
+    BOOST_TEST(unknown == 0U);
+    BOOST_TEST(world.violations().empty());
+}
