--- a/src/pool/entry.cpp
+++ b/src/pool/entry.cpp
@@ -135,7 +135,7 @@
     return job;
 }
 
-entry::entry(entry_settings settings, members& peers, worker_pool& own, const started_jobs& started)
+entry::entry(entry_settings settings, members& peers, worker_pool& own, started_jobs& started)
     : m_settings(std::move(settings)), m_peers(peers), m_own(own), m_started(started)
 {
 }
@@ -318,6 +318,7 @@
     if (call.pool.empty())
         return m_own.submit(now, call.job, {{}, 0, call.offer}, age, out);
     m_promised[call.pool].second += call.cpu;
+    note_offer(now, call);
     if (host->data_centre != m_settings.data_centre)
         ++m_totals.away;
     actions::send_peer message{call.pool, {}};
@@ -332,6 +333,19 @@
     out.push_back(std::move(message));
 }
 
+void entry::note_offer(microseconds now, open_call& call)
+{
+    if (!std::exchange(call.noted, true))
+        m_started.note(now, call.job.id);
+}
+
+void entry::note_declined(open_call& call)
+{
+    // An earlier pool of the job may have started something: that offer's note stays.
+    if (!call.may_have_run && std::exchange(call.noted, false))
+        m_started.withdraw(call.job.id);
+}
+
 void entry::on_own_result(microseconds now, const pool_result& result, action_list& out)
 {
     on_offer_result(now, result.job, {}, result.caller.offer, result.answer, result.declined, out);
@@ -357,6 +371,8 @@
     if (call.offer == offer && call.pool == pool)
     {
         call.offer = 0;
+        if (!pool.empty() && row_of(answer.kind).result == outcome::not_run)
+            note_declined(call);
         return decide(now, call.call, std::move(answer), declined, out);
     }
     if (answer.kind == answer_kind::ok)
@@ -413,6 +429,8 @@
         return {answer_kind::worker_lost, {}, "it started elsewhere: " + answer.detail};
     if (!m_peers.knows_of_others(now))
         return {answer_kind::worker_lost, {}, "cut off from the other hosts: " + answer.detail};
+    if (m_started.news_awaited())
+        return {answer_kind::worker_lost, {}, "a silent host's workers not read: " + answer.detail};
     return answer;
 }
 
