The pools' world: callers whose host does not notice that they have gone

A caller's connection may end unnoticed, on a link that loses packets, and the caller be back at the same host 1.3 s later; the host then has its job still. entry::submit treats that case apart, and no schedule reached it.

--- a/harness/pool_schedule_grown.cpp
+++ b/harness/pool_schedule_grown.cpp
@@ -112,6 +112,8 @@
         m_world->submit(host, id, count, {whole(5000, 8000), 64, 0}, time, chance(0.95));
         if (chance(0.04))
             after(between_ms(1, 1500), [this, id] { m_world->reset_caller(id); });
+        else if (chance(0.02))
+            after(between_ms(1, 1500), [this, id] { m_world->lose_caller(id); });
         else if (chance(0.02))
             after(between_ms(1, 1500), [this, id] { m_world->caller_leaves(id); });
     }
--- a/harness/pool_world.cpp
+++ b/harness/pool_world.cpp
@@ -559,28 +559,44 @@
     m_calls[call].answer.detail = std::to_string(host); // until it is answered: the host
 }
 
-void pool_world::caller_leaves(const std::string& id)
+std::optional<std::uint32_t> pool_world::host_of_open_call(const std::string& id) const
 {
-    const auto call = m_jobs.at(id).calls.back();
-    auto& record = m_calls[call];
+    const auto& record = m_calls[m_jobs.at(id).calls.back()];
     if (record.answered.count() >= 0 || record.broken)
+        return std::nullopt;
+    return static_cast<std::uint32_t>(std::stoul(record.answer.detail));
+}
+
+void pool_world::caller_leaves(const std::string& id)
+{
+    const auto host = host_of_open_call(id);
+    if (!host)
         return;
-    const auto host = static_cast<std::uint32_t>(std::stoul(record.answer.detail));
-    record.broken = true;
-    decide(host, [call](pool_host& logic, instant now, action_list& out)
+    const auto call = m_jobs.at(id).calls.back();
+    m_calls[call].broken = true;
+    decide(*host, [call](pool_host& logic, instant now, action_list& out)
            { logic.on_caller_gone(now, call << 8, out); });
 }
 
 void pool_world::reset_caller(const std::string& id)
 {
-    const auto call = m_jobs.at(id).calls.back();
-    if (m_calls[call].answered.count() >= 0 || m_calls[call].broken)
+    const auto host = host_of_open_call(id);
+    if (!host)
         return;
-    const auto host = static_cast<std::uint32_t>(std::stoul(m_calls[call].answer.detail));
     show("caller of " + id + " is reset");
     caller_leaves(id);
     if (m_jobs.at(id).comes_back)
-        come_back(host, id);
+        come_back(*host, id);
+}
+
+void pool_world::lose_caller(const std::string& id)
+{
+    const auto host = host_of_open_call(id);
+    if (!host)
+        return;
+    show("caller of " + id + " is lost unnoticed");
+    m_calls[m_jobs.at(id).calls.back()].broken = true;
+    at(m_now + come_back_after, [this, host = *host, id] { send_call(host, id); });
 }
 
 void pool_world::reset_callers(std::uint32_t host)
--- a/harness/pool_world.hpp
+++ b/harness/pool_world.hpp
@@ -52,8 +52,12 @@
     void submit(std::uint32_t host, const std::string& id, std::uint32_t count, pool::room need,
                 microseconds task_time, bool comes_back = false);
     void caller_leaves(const std::string& id);
-    // The caller's connection, or all callers' connections to a host, break while the host lives.
+    // The caller's connection breaks while its host lives.
     void reset_caller(const std::string& id);
+    // The caller's connection breaks and the host does not notice: the end of the connection is
+    // still under way when the caller comes back, to the same host.
+    void lose_caller(const std::string& id);
+    // All callers' connections to the host break.
     void reset_callers(std::uint32_t host);
     void make_failing(const std::string& id) { m_failing_jobs.insert(id); }
 
@@ -181,6 +185,8 @@
     bool comes_back_after(const pool::call_answer& answer) const;
     std::optional<std::uint32_t> host_for_caller(const std::string& data_centre);
     void send_call(std::uint32_t host, const std::string& id);
+    // The host of the job's last call if that is still open.
+    std::optional<std::uint32_t> host_of_open_call(const std::string& id) const;
     void advance_workers();
     void on_started(const std::string& worker, const pool::run_ref& run);
     void on_ended(const std::string& worker, const pool::run_ref& run, pool::run_end end);
--- a/tests/pool_world_test.cpp
+++ b/tests/pool_world_test.cpp
@@ -544,3 +544,19 @@
     world.run_until(at_ms(2600));
     BOOST_TEST(world.starts() == 3U);
 }
+
+// The world: the host does not notice that a caller has gone, and goes on with its job.
+BOOST_AUTO_TEST_CASE(a_lost_caller_comes_back_to_a_host_that_still_has_its_job)
+{
+    pool_world world({});
+    world.run_until(at_ms(2500));
+    world.submit(0, "lost", 2, a_task, 1500ms);
+    world.run_until(at_ms(2600));
+    world.lose_caller("lost");
+    world.run_until(at_ms(3800));
+    BOOST_TEST(world.host(0)->calls().knows("lost"));
+    world.run_until(at_ms(6000));
+    BOOST_TEST((world.last_call("lost")->answer.kind == answer_kind::ok));
+    BOOST_TEST(world.calls().size() == 2U);
+    BOOST_TEST(world.starts() == 2U);
+}
