--- a/tests/pool_world_test.cpp
+++ b/tests/pool_world_test.cpp
@@ -662,3 +662,19 @@
     BOOST_TEST(unknown == 0U);
     BOOST_TEST(world.violations().empty());
 }
+
+// The world: the host does not notice that a caller has gone, and goes on with its job.
+BOOST_AUTO_TEST_CASE(a_lost_caller_comes_back_to_a_host_that_still_has_its_job)
+{
+    pool_world world({});
+    world.run_until(at_ms(2500));
+    world.submit(0, "lost", 2, a_task, 1500ms);
+    world.run_until(at_ms(2600));
+    world.lose_caller("lost");
+    world.run_until(at_ms(3800));
+    BOOST_TEST(world.host(0)->calls().knows("lost"));
+    world.run_until(at_ms(6000));
+    BOOST_TEST((world.last_call("lost")->answer.kind == answer_kind::ok));
+    BOOST_TEST(world.calls().size() == 2U);
+    BOOST_TEST(world.starts() == 2U);
+}
