A pool's result counts only from the life of the host that got the offer

What callers would see: two runs of one task at once. Cause: results were matched by the host's name. A host that began anew within the 450 ms in which it is not missed refuses an offer to its former life, whose runs go on until their leases are over; the job went to another pool at once. Change: results are compared with the life that the offer went to; the new life's heartbeat then orphans the job, which waits for the leases as after any death.

--- a/src/pool/entry.cpp
+++ b/src/pool/entry.cpp
@@ -351,7 +351,7 @@
     on_offer_result(now, result.job, {}, result.caller.offer, result.answer, result.declined, out);
 }
 
-void entry::on_result(microseconds now, const std::string& host, const wire::PoolResult& result,
+void entry::on_result(microseconds now, const host_ref& host, const wire::PoolResult& result,
                       action_list& out)
 {
     on_offer_result(now, result.id(), host, result.offer(),
@@ -360,7 +360,7 @@
                     result.declined(), out);
 }
 
-void entry::on_offer_result(microseconds now, const std::string& job, const std::string& pool,
+void entry::on_offer_result(microseconds now, const std::string& job, const host_ref& pool,
                             std::uint64_t offer, call_answer answer, bool declined,
                             action_list& out)
 {
@@ -368,7 +368,7 @@
     if (known == m_by_job.end())
         return;
     auto& call = m_calls.at(known->second);
-    if (call.offer == offer && call.pool == pool)
+    if (call.offer == offer && call.pool_ref == pool)
     {
         call.offer = 0;
         if (!pool.empty() && row_of(answer.kind).result == outcome::not_run)
@@ -379,7 +379,7 @@
         return settle(now, call.call, std::move(answer), out);
     out.push_back(actions::log_event{
         false,
-        "event=late_result job=" + job + " pool=" + shown(pool) +
+        "event=late_result job=" + job + " pool=" + shown(pool.name) +
             " outcome=" + std::string(name_of(answer.kind)) + " offer=" + std::to_string(offer) +
             " latest_offer=" + std::to_string(call.offer) + " reason=\"" + answer.detail + '"'});
 }
--- a/src/pool/entry.hpp
+++ b/src/pool/entry.hpp
@@ -45,7 +45,7 @@
     void on_caller_gone(microseconds now, std::uint64_t call, action_list& out);
     // A caller takes its job back; false if it is not known here.
     bool cancel(microseconds now, const std::string& job, action_list& out);
-    void on_result(microseconds now, const std::string& host, const wire::PoolResult& result,
+    void on_result(microseconds now, const host_ref& host, const wire::PoolResult& result,
                    action_list& out);
     // Own results of the own pool's calls.
     void on_own_result(microseconds now, const pool_result& result, action_list& out);
@@ -126,7 +126,7 @@
     void settle(microseconds now, std::uint64_t call, call_answer answer, action_list& out);
     // Takes the result of one offer. That of an earlier offer says nothing about a later one,
     // except that a job which is complete stays so.
-    void on_offer_result(microseconds now, const std::string& job, const std::string& pool,
+    void on_offer_result(microseconds now, const std::string& job, const host_ref& pool,
                          std::uint64_t offer, call_answer answer, bool declined, action_list& out);
     void decide(microseconds now, std::uint64_t call, call_answer answer, bool declined,
                 action_list& out);
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -463,7 +463,7 @@
         on_pool_job(now, from, message.pool_job(), out);
         break;
     case wire::PeerMessage::kPoolResult:
-        m_entry.on_result(now.steady, from.name, message.pool_result(), out);
+        m_entry.on_result(now.steady, from, message.pool_result(), out);
         break;
     case wire::PeerMessage::kPoolCancel:
         m_pool.cancel(now.steady, {from.name, from.incarnation, message.pool_cancel().offer()},
--- a/tests/pool_offers_test.cpp
+++ b/tests/pool_offers_test.cpp
@@ -121,7 +121,7 @@
                 found.push_back(message->message.pool_job());
         return found;
     }
-    void decline(microseconds now, const std::string& host, const wire::PoolJob& offer)
+    void decline(microseconds now, const host_ref& host, const wire::PoolJob& offer)
     {
         wire::PoolResult result;
         result.set_offer(offer.offer());
@@ -152,7 +152,7 @@
     test.beat(at_ms(2370), test.first_pool, "w1", 50ms);
     test.tick(at_ms(2380));
     BOOST_REQUIRE(test.offers(test.first_pool).size() == 2U);
-    test.decline(at_ms(2385), test.first_pool, test.offers(test.first_pool).front());
+    test.decline(at_ms(2385), {test.first_pool, 1}, test.offers(test.first_pool).front());
     // From here on the first pool has the job by the second offer, and is heard all the time.
     for (auto ms = 2400; ms <= 4000; ms += 20)
     {
@@ -240,7 +240,7 @@
     run(1520, 3500, true);
     BOOST_TEST(test.offers(test.first_pool).size() == 2U);
     BOOST_TEST(test.offers(test.second_pool).empty());
-    test.decline(at_ms(3510), test.first_pool, test.offers(test.first_pool).back());
+    test.decline(at_ms(3510), {test.first_pool, 1}, test.offers(test.first_pool).back());
     run(3520, 3700, true);
     BOOST_TEST(test.offers(test.second_pool).size() == 1U);
 }
@@ -332,3 +332,17 @@
     beat(1800, 2);
     BOOST_TEST((host.hosts().find("h2")->heard == microseconds{at_ms(1400)}));
 }
+
+// A pool's host that began anew knows nothing of an offer to its former life, whose runs may go on.
+BOOST_AUTO_TEST_CASE(a_refusal_by_the_next_life_of_a_pools_host_does_not_free_the_job)
+{
+    entry_by_hand test;
+    test.tick(at_ms(1000));
+    test.beat(at_ms(1000), test.first_pool, "w1", 0ms);
+    test.beat(at_ms(1000), test.second_pool, "w2", 5ms);
+    test.submit(at_ms(1010));
+    test.decline(at_ms(1020), {test.first_pool, 2}, test.offers(test.first_pool).front());
+    BOOST_TEST(test.offers(test.second_pool).empty());
+    test.decline(at_ms(1030), {test.first_pool, 1}, test.offers(test.first_pool).front());
+    BOOST_TEST(test.offers(test.second_pool).size() == 1U);
+}
