A caller that comes back does not send a parked job out

What callers would see: two runs of one task at once. Cause: a job whose pool fell silent is parked until nothing of it can run there. If its caller came back to the same host on a new connection the job was sent to the former pool at once, and to a second one by the parked call's timer. Change: the new call takes the parked job over and waits.

--- a/src/pool/entry.cpp
+++ b/src/pool/entry.cpp
@@ -205,7 +205,10 @@
         known->second = number;
         auto& moved = m_calls.emplace(number, std::move(former)).first->second;
         moved.arrived = now.steady;
-        return send(now.steady, moved, out);
+        // A parked job goes out when its former pool is settled, as for the former call.
+        if (!moved.parked)
+            send(now.steady, moved, out);
+        return;
     }
     open_call call;
     call.call = number;
--- a/tests/pool_offers_test.cpp
+++ b/tests/pool_offers_test.cpp
@@ -101,7 +101,7 @@
             now, [] { return members::announcement{}; }, out);
         calls.tick(now, out);
     }
-    void submit(microseconds now)
+    void submit(microseconds now, std::uint64_t call = 1)
     {
         job_request job;
         job.id = "job";
@@ -109,7 +109,7 @@
         job.steps.back().need = a_task;
         job.steps.back().estimate = 900ms;
         job.terms = {"r", "desk", 0, 3, 1.6, 60ms, 6000ms};
-        calls.submit({now, 0ms}, 1, job, out);
+        calls.submit({now, 0ms}, call, job, out);
     }
     // The offers of the job that were sent to a host.
     std::vector<wire::PoolJob> offers(const std::string& host) const
@@ -346,3 +346,28 @@
     test.decline(at_ms(1030), {test.first_pool, 1}, test.offers(test.first_pool).front());
     BOOST_TEST(test.offers(test.second_pool).size() == 1U);
 }
+
+// A caller that comes back on a new connection while its job waits for a silent pool changes
+// nothing about that wait.
+BOOST_AUTO_TEST_CASE(a_caller_that_comes_back_does_not_send_a_parked_job_out)
+{
+    entry_by_hand test;
+    const auto run = [&](std::int64_t from_ms, std::int64_t until_ms)
+    {
+        for (auto ms = from_ms; ms <= until_ms; ms += 20)
+        {
+            test.beat(at_ms(ms), test.second_pool, "w2", 5ms);
+            test.tick(at_ms(ms));
+        }
+    };
+    test.tick(at_ms(1000));
+    test.beat(at_ms(1000), test.first_pool, "w1", 0ms);
+    test.submit(at_ms(1010));
+    run(1020, 1500);
+    test.submit(at_ms(1510), 2);
+    run(1520, 2400);
+    BOOST_TEST(test.offers(test.first_pool).size() == 1U);
+    BOOST_TEST(test.offers(test.second_pool).empty());
+    run(2420, 2600); // all leases of the first pool are over at 2450 ms
+    BOOST_TEST(test.offers(test.second_pool).size() == 1U);
+}
