An omission by the host list counts anew for each process of a name

Cause: a host that the platform's list omits for longer than it ever trails is taken as over, "under any incarnation". The omission was counted from its beginning also when a newer process of that name had begun and been heard since. 1. A host is away for more than 30 s. 2. It starts again, is heard, and becomes a shard's grantor; the list, which trails, does not name it yet. 3. The log is away, so the owner gives it the right to take over on its own word. 4. The two are cut from each other for more than a lease. 5. The owner takes its grantor as over and goes on alone; the grantor takes over. Both serve as sole holders: each may answer "not run" for keys that the other runs. The workers' fences stop the starts of one of them, but not its refusals.

Evidence: the new test in core_test, on the code before: two hosts serve ("[2 > 1]").

Change: word of a newer process, heard from it or read in a claim, makes the omission count anew. A list that trails by at most its lag names a running process by then, so a longer omission still proves that it is over.

--- a/src/core/ownership.cpp
+++ b/src/core/ownership.cpp
@@ -25,7 +25,8 @@
 //     without it: at any time, at most one of the two can move the shard without the other.
 //  4. Any other host may claim only when both owner and grantor are proven to be over: a higher
 //     incarnation of the same name was heard, or the platform's list has omitted the host for
-//     longer than the list ever trails. Silence alone proves nothing.
+//     longer than the list ever trails since the process was first heard of. Silence alone proves
+//     nothing.
 //  5. A shard without any claim may be claimed by all; the log decides.
 //
 // The trade-off: no vote and no quorum, so one silent grantor in an outage of the log stalls its
@@ -177,8 +178,9 @@
     if (omitted == m_unlisted.end())
         return false;
     // The list may omit a host because an earlier process of that name ended, while a newer one
-    // already runs and is not named yet. Only an omission that outlasts the list's lag proves that
-    // no process of that name runs. Only time over which the list was read counts.
+    // already runs and is not named yet. Only an omission that outlasts the list's lag, counted
+    // from the first word of the newest process, proves that no process of that name runs. Only
+    // time over which the list was read counts.
     return m_list_read - omitted->second > microseconds{m_settings.host_list_lag};
 }
 
@@ -302,6 +304,8 @@
         state.renewed = false;
         state.refusals_until = milliseconds{0};
     }
+    note_process(now, owner);
+    note_process(now, grantor);
     state.current = current;
     state.owner = owner;
     state.grantor = grantor;
@@ -602,8 +606,22 @@
     }
 }
 
+// A process that this host learns of began at some time since the list omitted its name: the
+// omission counts anew.
+void ownership::note_process(instant now, const host_ref& host)
+{
+    auto& newest = m_newest[host.name];
+    if (host.incarnation <= newest)
+        return;
+    newest = host.incarnation;
+    const auto omitted = m_unlisted.find(host.name);
+    if (omitted != m_unlisted.end())
+        omitted->second = now.steady;
+}
+
 void ownership::note_incarnation(instant now, const host_ref& from)
 {
+    note_process(now, from);
     auto& peer = m_peers[from.name];
     if (from.incarnation > peer.incarnation)
         peer = {from.incarnation, now.steady, 0, false};
--- a/src/core/ownership.hpp
+++ b/src/core/ownership.hpp
@@ -192,6 +192,7 @@
                        ownership_events& events);
     void set_owner(std::uint32_t shard, instant now, epoch current, const host_ref& owner,
                    const host_ref& grantor, bool with_memory, ownership_events& events);
+    void note_process(instant now, const host_ref& host);
     void note_incarnation(instant now, const host_ref& from);
     bool proven_over(const host_ref& host, instant now) const;
     bool aged_out_safely(instant now) const;
@@ -206,6 +207,7 @@
     std::map<std::string, std::vector<sent_beat>> m_sent;
     std::map<std::string, microseconds> m_listed;   // host -> when the list last named it
     std::map<std::string, microseconds> m_unlisted; // host -> since when the list omits it
+    std::map<std::string, std::uint64_t> m_newest;  // host -> the highest incarnation heard of
     microseconds m_list_read{-1};
     microseconds m_next_heartbeat{0};
     microseconds m_started{-1};
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <random>
+#include <set>
 
 using namespace egretledge;
 
@@ -235,7 +236,8 @@
     {
         std::vector<listed_host> listed;
         for (std::size_t i = 0; i < nodes.size(); ++i)
-            listed.push_back({"h" + std::to_string(i + 1), "dc", "", "", false});
+            if (!omitted.contains(i))
+                listed.push_back({"h" + std::to_string(i + 1), "dc", "", "", false});
         for (const auto i : up)
         {
             nodes[i]->on_host_list(now, listed);
@@ -309,6 +311,7 @@
 
     std::vector<std::unique_ptr<ownership>> nodes;
     std::map<std::size_t, std::uint64_t> incarnations; // of the running processes
+    std::set<std::size_t> omitted;                     // by the platform's list
     std::vector<std::string> records;
     std::vector<std::pair<std::size_t, gained_shard>> gains;
 };
@@ -402,6 +405,30 @@
     BOOST_TEST(!t.gains.back().second.refusals_known);
 }
 
+// A host was away for longer than the list ever trails. It is back and serves, and the list does
+// not name it yet: that omission is of its former process, and proves nothing of the new one.
+BOOST_AUTO_TEST_CASE(an_omission_from_before_a_process_began_does_not_prove_it_over)
+{
+    table t(2);
+    t.run(0, 3000, {0, 1});
+    const auto back = t.serving(3000).at(0);
+    const auto other = 1 - back;
+    t.omitted = {back};
+    t.run(3000, 36000, {other});
+    BOOST_REQUIRE((t.serving(36000) == std::vector<std::size_t>{other}));
+    t.restart(back);
+    t.run(36000, 38000, {0, 1});
+    t.run(38000, 39000, {0, 1}, false);
+    // Without the log, and each without the other: only the grantor may move.
+    for (std::int64_t ms = 39000; ms < 45000; ms += 10)
+    {
+        t.step(at(ms), {back}, false);
+        t.step(at(ms), {other}, false);
+        BOOST_REQUIRE_LE(t.serving(ms).size(), 1U);
+    }
+    BOOST_TEST((t.serving(45000) == std::vector<std::size_t>{back}));
+}
+
 // A heartbeat that was sent before the owner named another grantor arrives late.
 BOOST_AUTO_TEST_CASE(a_late_heartbeat_of_an_earlier_epoch_is_not_granted)
 {
