A direct takeover is passed on only once the former owner knows of it

Cause: an owner that has said "direct" resumes when its grantor is proven over, under an epoch above the one that the grantor may have taken. That counts on the right having ended with the grantor. But 1. the grantor takes over on its own word while the log is away and the owner is cut off; 2. it reaches the log again and names a third host as its own grantor, or hands the shard over; 3. it dies, and the former owner hears its next process, but neither the third host nor the log; 4. the former owner resumes as the sole holder, and the third host takes over by the log. Both serve; a sole holder says "not run" for any key, and the third host runs it.

Evidence: the new test in core_test, on the code before: two hosts serve ("[2 > 1]").

Ruled out: letting the former owner wait for the log instead. It would stall the shard in every outage of the log in which a grantor dies, which is the case that the right to resume is for.

Change: a host that took over on its own word names no grantor and begins no handover until a heartbeat of the former owner no longer lists the shard, or its process is proven over. Late and doubled heartbeats are dropped before that, so the word is later than the takeover. Until then only these two hosts can move the shard, as the rule at the top of ownership.cpp says.

--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -511,7 +511,8 @@
     m_next_rebalance = now.steady + microseconds{m_settings.rebalance_every};
     for (std::uint32_t shard = 0; shard < m_owners->shard_count(); ++shard)
     {
-        if (!m_owners->may_serve(shard, now) || m_handovers.contains(shard))
+        if (!m_owners->may_serve(shard, now) || m_handovers.contains(shard) ||
+            !m_owners->may_pass_on(shard, now))
             continue;
         std::uint32_t theirs = 0;
         const auto to = least_owning_peer(now, theirs);
--- a/src/core/ownership.cpp
+++ b/src/core/ownership.cpp
@@ -22,7 +22,9 @@
 //  3. While the owner cannot reach the log it says so in its heartbeats ("direct"). A grantor that
 //     last heard "direct" takes over on its own word, without the log, and is then the sole holder.
 //     An owner that has said "direct" gives up right 2 until the grantor acknowledges a heartbeat
-//     without it: at any time, at most one of the two can move the shard without the other.
+//     without it: at any time, at most one of the two can move the shard without the other. If the
+//     grantor is over, the owner resumes. So a grantor that took over passes the shard on, to a new
+//     grantor or owner, only once the former owner has said that it knows, or is over as well.
 //  4. Any other host may claim only when both owner and grantor are proven to be over: a higher
 //     incarnation of the same name was heard, or the platform's list has omitted the host for
 //     longer than the list ever trails since the process was first heard of. Silence alone proves
@@ -316,6 +318,7 @@
     state.handing_over = false;
     state.handover_to = {};
     state.sole = is_self && grantor.empty();
+    state.unaware = {};
     if (!same_owner)
     {
         state.direct_held = false;
@@ -347,8 +350,11 @@
 {
     auto& state = m_shards[shard];
     const epoch next{state.current.term, state.current.direct + steps};
-    const bool was_self = state.owner == m_settings.self;
+    const auto former = state.owner;
+    const bool was_self = former == m_settings.self;
     set_owner(shard, now, next, m_settings.self, {}, false, events);
+    if (!was_self)
+        state.unaware = former;
     if (was_self)
         events.gained.push_back({shard, next, gain_reason::takeover, false, milliseconds{0}});
 }
@@ -406,7 +412,7 @@
     if (state.sole)
     {
         const auto grantor = pick_grantor(now, m_settings.self);
-        if (m_log_reachable && !grantor.empty())
+        if (m_log_reachable && !grantor.empty() && may_pass_on(shard, now))
         {
             // Nobody else can move a sole holder's shard, so the new grantor's promises count
             // from now, before its claim is read.
@@ -517,6 +523,25 @@
     m_next_heartbeat = now.steady;
 }
 
+bool ownership::may_pass_on(std::uint32_t shard, instant now) const
+{
+    const auto& state = m_shards.at(shard);
+    return state.unaware.empty() || proven_over(state.unaware, now);
+}
+
+// A former owner that no longer says that it owns a shard knows that it was taken over.
+void ownership::note_aware(const host_ref& from, const wire::Heartbeat& beat)
+{
+    for (std::uint32_t shard = 0; shard < m_shards.size(); ++shard)
+    {
+        const bool still_owns =
+            std::any_of(beat.owned().begin(), beat.owned().end(),
+                        [&](const wire::OwnedShard& line) { return line.shard() == shard; });
+        if (m_shards[shard].unaware == from && !still_owns)
+            m_shards[shard].unaware = {};
+    }
+}
+
 void ownership::begin_handover(std::uint32_t shard)
 {
     EGRET_CHECK(owned_by_self(shard), "only an owner hands over");
@@ -640,6 +665,7 @@
     peer.sequence = beat.sequence();
     peer.leaving = beat.leaving();
     adopt_claims(from, now, beat, events);
+    note_aware(from, beat);
     const auto granted = grant_renewals(from, now, beat);
     if (granted.empty())
         return;
--- a/src/core/ownership.hpp
+++ b/src/core/ownership.hpp
@@ -89,9 +89,11 @@
     }
     // Asks the grantor to know of refusals of keys made up to `until`.
     void announce_refusals(instant now, std::uint32_t shard, milliseconds until);
-    // Begins to give `shard` away: until it is over or cancelled, may_serve() is false.
     // Shards of this data centre owned by `host`, as far as this host knows.
     std::uint32_t owned_by(const std::string& host) const;
+    // False while an owner from which this host took `shard` on its own word may not know of it.
+    bool may_pass_on(std::uint32_t shard, instant now) const;
+    // Begins to give `shard` away: until it is over or cancelled, may_serve() is false.
     void begin_handover(std::uint32_t shard);
     // The receiver holds this host's memory of the shard: claims the shard in the receiver's name.
     void finish_handover(instant now, std::uint32_t shard, const host_ref& to);
@@ -140,6 +142,7 @@
         std::uint64_t direct_beat = 0; // the latest heartbeat that gave it
         bool handing_over = false;
         host_ref handover_to;
+        host_ref unaware; // the owner before a direct takeover, until it is known to know
 
         // Refusals: up to which key time they are wanted, and known to the grantor.
         milliseconds refusals_wanted{0};
@@ -181,6 +184,7 @@
     void retry_handover(std::uint32_t shard, instant now, action_list& out);
     void adopt_claims(const host_ref& from, instant now, const wire::Heartbeat& beat,
                       ownership_events& events);
+    void note_aware(const host_ref& from, const wire::Heartbeat& beat);
     std::vector<std::uint32_t> grant_renewals(const host_ref& from, instant now,
                                               const wire::Heartbeat& beat);
     bool lease_valid(const shard_state& state, instant now) const;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -352,6 +352,7 @@
     // The former owner comes back with the log: it does not serve, and learns the new owner.
     t.run(12000, 16000, {0, 1});
     BOOST_TEST((t.serving(16000) == std::vector<std::size_t>{other}));
+    BOOST_TEST(t.nodes[other]->may_pass_on(0, at(16000)));
 }
 
 BOOST_AUTO_TEST_CASE(an_owner_whose_grantor_died_names_a_new_one_without_a_gap)
@@ -429,6 +430,43 @@
     BOOST_TEST((t.serving(45000) == std::vector<std::size_t>{back}));
 }
 
+// A grantor that took over on its own word passed the shard on by the log and died. The former
+// owner knew of none of it, and took the grantor's end as leave to go on alone.
+BOOST_AUTO_TEST_CASE(a_former_owner_does_not_resume_what_its_grantor_has_passed_on)
+{
+    table t(3);
+    t.run(0, 3000, {0, 1, 2});
+    const auto owner = t.serving(3000).at(0);
+    const auto grantor = (owner + 1) % 3;
+    const auto third = (owner + 2) % 3;
+    t.run(3000, 4000, {0, 1, 2}, false);
+    // The owner is cut off. The grantor takes over, and then reaches the log again.
+    const auto apart = [&](std::int64_t from, std::int64_t to, bool log_up)
+    {
+        for (auto ms = from; ms < to; ms += 10)
+        {
+            t.step(at(ms), {owner}, false);
+            t.step(at(ms), {grantor, third}, log_up);
+            BOOST_REQUIRE_LE(t.serving(ms).size(), 1U);
+        }
+    };
+    apart(4000, 8000, false);
+    BOOST_REQUIRE((t.serving(8000) == std::vector<std::size_t>{grantor}));
+    BOOST_TEST(!t.nodes[grantor]->may_pass_on(0, at(8000)));
+    apart(8000, 10000, true);
+    // It dies; its next process reaches the former owner only, and the third host the log only.
+    t.restart(grantor);
+    for (std::int64_t ms = 10000; ms < 16000; ms += 10)
+    {
+        t.step(at(ms), {owner, grantor}, false);
+        t.step(at(ms), {third}, true);
+        BOOST_REQUIRE_LE(t.serving(ms).size(), 1U);
+    }
+    // Once all hear each other, one host serves.
+    t.run(16000, 20000, {0, 1, 2});
+    BOOST_TEST(t.serving(20000).size() == 1U);
+}
+
 // A heartbeat that was sent before the owner named another grantor arrives late.
 BOOST_AUTO_TEST_CASE(a_late_heartbeat_of_an_earlier_epoch_is_not_granted)
 {
