A refused start is given back also when its lease is known to be over

Cause: two batches reach a worker after their lease lapsed there. The refusal of the first sets the lease to none, and on_started() ignored every answer while there is none. So the second batch's starts stayed sent and unanswered: neither refused nor in doubt, so that nobody asked for them. Their tasks ran nowhere, their callers were told "unknown" at the deadline, and their places in the worker's and the team's counts were lost until the worker's next process.

Evidence: the new test in core_test, on the code before: one start is outstanding for ever.

Ruled out: answers of a worker's former process, which the check may have been for: when a worker's incarnation changes, all that was outstanding there is reported as lost, so a verdict finds nothing.

Change: verdicts are read whatever the lease is; each is about one sequence, which is used once.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -638,8 +638,6 @@
 {
     note_incarnation(now, about.worker, reply.worker_incarnation, events);
     auto& worker = *m_workers[about.worker];
-    if (worker.lease == 0)
-        return;
     for (std::size_t i = 0; i < reply.verdicts.size(); ++i)
     {
         const auto sequence = about.first + i;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -654,3 +654,76 @@
     BOOST_TEST(counters.answers_stray == 4U);
     BOOST_TEST(sender.outstanding() == 1U);
 }
+
+namespace
+{
+
+// A dispatcher with one worker, whose answers are given by hand.
+struct one_worker
+{
+    one_worker() : sender(settings(), gate, counters, 1)
+    {
+        sender.configure(one_worker_config());
+        job.id = {1, 2};
+        job.service = "s";
+        job.team = "t";
+        job.deadline = milliseconds{60000};
+    }
+    static dispatcher_settings settings()
+    {
+        dispatcher_settings text;
+        text.self = {"h", 1};
+        text.data_centre = "dc";
+        return text;
+    }
+    // Asks for a lease, if one is due, and has it granted; false if none was asked for.
+    bool grant(std::int64_t ms, std::uint64_t lease)
+    {
+        action_list out;
+        sender.on_tick(at(ms), out);
+        const auto request = request_of<lease_ask>(out);
+        if (request != 0)
+            answer(ms, request, lease_grant{7, lease, 8, 0, 10'000'000, 0});
+        return request != 0;
+    }
+    // Sends one more task of the job as a batch of its own; returns the request's number.
+    std::uint64_t send(std::int64_t ms)
+    {
+        job.tasks.emplace_back();
+        ++job.unfinished;
+        sender.enqueue(job, at(ms));
+        action_list out;
+        sender.pump(at(ms), out);
+        return request_of<start_batch>(out);
+    }
+    void answer(std::int64_t ms, std::uint64_t request, worker_answer text)
+    {
+        BOOST_REQUIRE(request != 0);
+        sender.on_worker_answer(at(ms), request, text, events);
+    }
+
+    open_gate gate;
+    node_counters counters;
+    dispatcher sender;
+    open_job job;
+    std::vector<task_event> events;
+};
+
+} // namespace
+
+// Two batches come to a worker after their lease lapsed there. The first refusal ends the lease;
+// the second one counts all the same, or its task waits for an answer for ever.
+BOOST_AUTO_TEST_CASE(every_refusal_under_a_lapsed_lease_gives_its_task_back)
+{
+    one_worker w;
+    BOOST_REQUIRE(w.grant(0, 1));
+    w.job.tasks.reserve(2);
+    const auto first = w.send(1);
+    const auto second = w.send(2);
+    w.answer(3, first, start_reply{7, 0, 0, {start_verdict::lease_lapsed}});
+    w.answer(3, second, start_reply{7, 0, 0, {start_verdict::lease_lapsed}});
+    BOOST_TEST(w.sender.outstanding() == 0U);
+    BOOST_TEST((w.job.tasks[0].state == run_state::not_started));
+    BOOST_TEST((w.job.tasks[1].state == run_state::not_started));
+    BOOST_TEST(w.sender.queued() == 2U);
+}
