A refusal under an earlier lease leaves the present lease alone

Cause: an answer "lease lapsed" named the worker only. One that came after the next lease had been granted ended that one here, while the worker kept it: nothing was sent to the worker until a third lease was granted. No promise broke; the worker stood idle for this host.

Evidence: the new test in core_test, on the code before: lease 0 in place of 2.

Change: the question notes the lease of its batch. A lease's number may come again after a worker's restart; then the starts of the old batch are gone, and the verdict is not looked at.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -467,6 +467,7 @@
                       std::move(m_batches[index])};
     m_batches[index].clear();
     question about{};
+    about.lease = batch.lease;
     about.first = batch.orders.front().sequence;
     about.last = batch.orders.back().sequence;
     m_counters.starts_sent += batch.orders.size();
@@ -658,7 +659,8 @@
             start->second.in_doubt = true;
             continue;
         }
-        if (verdict == start_verdict::lease_lapsed)
+        // A later lease may have been granted since the batch was sent.
+        if (verdict == start_verdict::lease_lapsed && worker.lease == about.lease)
             worker.lease = 0;
         worker.start_after = now.steady + refused_pause;
         give_back(worker, sequence, now);
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -112,6 +112,7 @@
         std::uint32_t worker = 0;
         std::uint64_t first = 0; // sequences of a start batch, or of the starts in doubt
         std::uint64_t last = 0;
+        std::uint64_t lease = 0; // of a start batch
         microseconds sent{0};
         job_id job;
     };
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -727,3 +727,18 @@
     BOOST_TEST((w.job.tasks[1].state == run_state::not_started));
     BOOST_TEST(w.sender.queued() == 2U);
 }
+
+// A refusal under an earlier lease says nothing about the lease that was granted since.
+BOOST_AUTO_TEST_CASE(a_late_refusal_under_an_earlier_lease_leaves_the_present_one)
+{
+    one_worker w;
+    BOOST_REQUIRE(w.grant(0, 1));
+    w.job.tasks.reserve(2);
+    const auto first = w.send(1);
+    const auto second = w.send(2);
+    w.answer(3, first, start_reply{7, 0, 0, {start_verdict::lease_lapsed}});
+    BOOST_REQUIRE(w.grant(300, 2));
+    w.answer(301, second, start_reply{7, 0, 0, {start_verdict::lease_lapsed}});
+    BOOST_TEST(w.sender.workers().at(0)->lease == 2U);
+    BOOST_TEST(w.sender.outstanding() == 0U);
+}
