A handover gives no lease from the receiver's own claim

Cause: a host whose own claim wins holds a lease from when it made that claim, since the new grantor counts a full lease from reading it, which is later. Any winning claim that named the host as the owner was taken for its own. But a handover's claim is the former owner's. 1. The receiver acknowledges the memory and is cut off. 2. The former owner's claim for it wins; the former owner, now its grantor, reads that and counts. 3. The receiver, which has not read it, claims the shard itself after a silent lease. 4. It reads the handover and counts a lease from its own claim, 2 s later than its grantor did. 5. The grantor takes the shard back. Both serve for up to a lease. The fences of the takeover's history stop the starts of one, and its refusals need a bound that was acknowledged, so no final answer is known to contradict another; the promise that one host serves a shard was broken.

Evidence: the new test in core_test, on the code before: two hosts serve ("[2 > 1]").

Ruled out: claims of earlier terms, which lose by their base; claims in this host's name by others than a former owner, which do not exist.

Change: a handover's receiver begins without a lease, and serves from the first acknowledgement.

--- a/src/core/ownership.cpp
+++ b/src/core/ownership.cpp
@@ -325,7 +325,8 @@
         state.promised = microseconds{0};
         state.refusals_wanted = milliseconds{0};
     }
-    if (is_self && !state.sole && state.claimed_at > microseconds{0})
+    // The claim of a handover is the former owner's: an own one that was open as well did not win.
+    if (is_self && !with_memory && !state.sole && state.claimed_at > microseconds{0})
         state.lease_until =
             std::max(state.lease_until, state.claimed_at + microseconds{m_settings.lease});
     if (!is_self)
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -467,6 +467,44 @@
     BOOST_TEST(t.serving(20000).size() == 1U);
 }
 
+// A host had a claim of its own open when it read that the shard was handed to it. Its lease counts
+// from a heartbeat that the new grantor acknowledged, not from its own claim, which did not win.
+BOOST_AUTO_TEST_CASE(a_handover_gives_no_lease_from_the_receivers_own_claim)
+{
+    table t(2);
+    t.run(0, 3000, {0, 1});
+    const auto owner = t.serving(3000).at(0);
+    const auto other = 1 - owner;
+    const auto under = t.nodes[owner]->epoch_of(0);
+    t.nodes[owner]->begin_handover(0);
+    t.nodes[other]->on_memory_received(0, under);
+    t.nodes[owner]->finish_handover(at(3000), 0, {"h" + std::to_string(other + 1), 1});
+    // They are cut from each other, and the receiver from the log as well, before it reads of it.
+    std::int64_t ms = 3000;
+    const auto claims = t.nodes[other]->claims_made();
+    for (; t.nodes[other]->claims_made() == claims; ms += 10)
+    {
+        BOOST_REQUIRE_LT(ms, 6000);
+        t.step(at(ms), {owner}, true);
+        t.step(at(ms), {other}, false);
+    }
+    // It reads the page that it asked for before the former owner took the shard back.
+    log_page page{0, t.records.size(), {}};
+    for (std::size_t o = 0; o < t.records.size(); ++o)
+        page.entries.push_back({o, t.records[o]});
+    ownership_events events;
+    t.nodes[other]->on_log_page(at(ms), page, events);
+    BOOST_REQUIRE(t.nodes[other]->owned_by_self(0));
+    BOOST_REQUIRE(!t.nodes[owner]->owned_by_self(0));
+    for (; ms < 8000; ms += 10)
+    {
+        t.step(at(ms), {owner}, true);
+        t.step(at(ms), {other}, false);
+        BOOST_REQUIRE_LE(t.serving(ms).size(), 1U);
+    }
+    BOOST_TEST((t.serving(8000) == std::vector<std::size_t>{owner}));
+}
+
 // A heartbeat that was sent before the owner named another grantor arrives late.
 BOOST_AUTO_TEST_CASE(a_late_heartbeat_of_an_earlier_epoch_is_not_granted)
 {
