A host list counts from when it was asked for

Evidence: the new test in harness_test, on the code before: two hosts serve ("[2 > 1]"). The new test in core_test cannot be built on the code before; with only m_list_read counted from the answer it fails in the same way.

Ruled out: the gap after which omissions count anew (5 s): revisions that come more often keep it from being reached.

Change: the node keeps when the list was asked for and when it came. An omission begins when the list came and lasts until the list was asked for. When this host first had word of a process is kept beside the process, so that giving an old list again cannot antedate an omission either.

--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -87,7 +87,7 @@
     m_jobs->configure(m_config.current());
     if (!m_have_listing)
         return;
-    m_owners->on_host_list(now, m_listing.hosts);
+    m_owners->on_host_list(m_listing_asked, m_listing_answered, m_listing.hosts);
     m_router->set_hosts(m_listing.hosts);
     m_jobs->dispatch().set_leaving_workers(m_listing.leaving_workers);
 }
@@ -97,6 +97,7 @@
     if (!m_hosts_asked && now.steady >= m_next_hosts)
     {
         m_hosts_asked = true;
+        m_hosts_asked_at = now;
         out.push_back(actions::fetch_hosts{});
     }
     read_streams(now, out);
@@ -296,10 +297,12 @@
     if (!m_have_listing)
         log(out, "event=host_list hosts=" + std::to_string(listing->hosts.size()));
     m_listing = *listing;
+    m_listing_asked = m_hosts_asked_at;
+    m_listing_answered = now;
     m_have_listing = true;
     if (!m_owners)
         return;
-    m_owners->on_host_list(now, m_listing.hosts);
+    m_owners->on_host_list(m_listing_asked, m_listing_answered, m_listing.hosts);
     m_router->set_hosts(m_listing.hosts);
     m_jobs->dispatch().set_leaving_workers(m_listing.leaving_workers);
 }
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -188,6 +188,9 @@
     std::unique_ptr<router> m_router;
     host_listing m_listing;
     bool m_have_listing = false;
+    instant m_listing_asked;    // when m_listing was asked for
+    instant m_listing_answered; // and when it came
+    instant m_hosts_asked_at;
     std::map<std::string, std::uint64_t> m_peer_incarnations;
     stream_reader m_config_reader;
     stream_reader m_claims_reader;
--- a/src/core/ownership.cpp
+++ b/src/core/ownership.cpp
@@ -183,13 +183,16 @@
     // already runs and is not named yet. Only an omission that outlasts the list's lag, counted
     // from the first word of the newest process, proves that no process of that name runs. Only
     // time over which the list was read counts.
-    return m_list_read - omitted->second > microseconds{m_settings.host_list_lag};
+    const auto newest = m_newest.find(host.name);
+    const auto since = newest == m_newest.end() ? omitted->second
+                                                : std::max(omitted->second, newest->second.known);
+    return m_list_read - since > microseconds{m_settings.host_list_lag};
 }
 
-void ownership::on_host_list(instant now, const std::vector<listed_host>& hosts)
+void ownership::on_host_list(instant asked, instant answered, const std::vector<listed_host>& hosts)
 {
     // What happened while the list could not be read is not known: omissions count anew.
-    if (now.steady - m_list_read > longest_list_gap)
+    if (asked.steady - m_list_read > longest_list_gap)
         m_unlisted.clear();
     std::vector<std::string> named;
     for (const auto& host : hosts)
@@ -197,16 +200,16 @@
         if (host.data_centre != m_settings.data_centre)
             continue;
         named.push_back(host.name);
-        m_listed[host.name] = now.steady;
+        m_listed[host.name] = answered.steady;
         m_unlisted.erase(host.name);
         if (host.name != m_settings.self.name)
             m_peers.try_emplace(host.name);
     }
-    m_list_read = now.steady;
+    m_list_read = asked.steady;
     const auto note_missing = [&](const std::string& name)
     {
         if (!name.empty() && std::find(named.begin(), named.end(), name) == named.end())
-            m_unlisted.try_emplace(name, now.steady);
+            m_unlisted.try_emplace(name, answered.steady);
     };
     for (const auto& shard : m_shards)
     {
@@ -632,17 +635,11 @@
     }
 }
 
-// A process that this host learns of began at some time since the list omitted its name: the
-// omission counts anew.
 void ownership::note_process(instant now, const host_ref& host)
 {
     auto& newest = m_newest[host.name];
-    if (host.incarnation <= newest)
-        return;
-    newest = host.incarnation;
-    const auto omitted = m_unlisted.find(host.name);
-    if (omitted != m_unlisted.end())
-        omitted->second = now.steady;
+    if (host.incarnation > newest.incarnation)
+        newest = {host.incarnation, now.steady};
 }
 
 void ownership::note_incarnation(instant now, const host_ref& from)
--- a/src/core/ownership.hpp
+++ b/src/core/ownership.hpp
@@ -70,7 +70,9 @@
     void on_heartbeat(instant now, const host_ref& from, const wire::Heartbeat& beat,
                       action_list& out, ownership_events& events);
     void on_heartbeat_ack(instant now, const host_ref& from, const wire::HeartbeatAck& ack);
-    void on_host_list(instant now, const std::vector<listed_host>& hosts);
+    // The platform's list as it was some time between the question and the answer; the same list
+    // may be given again.
+    void on_host_list(instant asked, instant answered, const std::vector<listed_host>& hosts);
 
     // True while this host may decide for `shard`: start tasks and say "not run".
     bool may_serve(std::uint32_t shard, instant now) const;
@@ -170,6 +172,13 @@
         bool leaving = false;
     };
 
+    // The newest process of a name, and when this host first had word of it.
+    struct newest_process
+    {
+        std::uint64_t incarnation = 0;
+        microseconds known{0};
+    };
+
     struct sent_beat
     {
         std::uint64_t sequence = 0;
@@ -211,8 +220,8 @@
     std::map<std::string, std::vector<sent_beat>> m_sent;
     std::map<std::string, microseconds> m_listed;   // host -> when the list last named it
     std::map<std::string, microseconds> m_unlisted; // host -> since when the list omits it
-    std::map<std::string, std::uint64_t> m_newest;  // host -> the highest incarnation heard of
-    microseconds m_list_read{-1};
+    std::map<std::string, newest_process> m_newest;
+    microseconds m_list_read{-1}; // when the list was last asked for with success
     microseconds m_next_heartbeat{0};
     microseconds m_started{-1};
     std::uint64_t m_sequence = 0;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -240,7 +240,7 @@
                 listed.push_back({"h" + std::to_string(i + 1), "dc", "", "", false});
         for (const auto i : up)
         {
-            nodes[i]->on_host_list(now, listed);
+            nodes[i]->on_host_list({now.steady - list_age, now.wall}, now, listed);
             read(i, now, log_up);
             action_list out;
             ownership_events events;
@@ -311,6 +311,7 @@
 
     std::vector<std::unique_ptr<ownership>> nodes;
     std::map<std::size_t, std::uint64_t> incarnations; // of the running processes
+    microseconds list_age{0};                          // from the list's question to its answer
     std::set<std::size_t> omitted;                     // by the platform's list
     std::vector<std::string> records;
     std::vector<std::pair<std::size_t, gained_shard>> gains;
@@ -430,6 +431,29 @@
     BOOST_TEST((t.serving(45000) == std::vector<std::size_t>{back}));
 }
 
+// A list that was long on its way shows who was omitted when it was asked for, not when it came.
+BOOST_AUTO_TEST_CASE(a_late_host_list_counts_from_its_question)
+{
+    table t(2);
+    t.run(0, 3000, {0, 1});
+    const auto back = t.serving(3000).at(0);
+    const auto other = 1 - back;
+    t.omitted = {back};
+    t.run(3000, 36000, {other});
+    t.restart(back);
+    t.run(36000, 61000, {0, 1});
+    t.run(61000, 62000, {0, 1}, false);
+    // The list names the host from 66 s on: the last answer without it comes just before 70 s.
+    t.list_age = milliseconds{4000};
+    for (std::int64_t ms = 62000; ms < 69500; ms += 10)
+    {
+        t.step(at(ms), {back}, false);
+        t.step(at(ms), {other}, false);
+        BOOST_REQUIRE_LE(t.serving(ms).size(), 1U);
+    }
+    BOOST_TEST((t.serving(69500) == std::vector<std::size_t>{back}));
+}
+
 // A grantor that took over on its own word passed the shard on by the log and died. The former
 // owner knew of none of it, and took the grantor's end as leave to go on alone.
 BOOST_AUTO_TEST_CASE(a_former_owner_does_not_resume_what_its_grantor_has_passed_on)
--- a/tests/harness_test.cpp
+++ b/tests/harness_test.cpp
@@ -1,7 +1,9 @@
 #define BOOST_TEST_MODULE harness
+#include "core/wire.hpp"
 #include "harness/scenario.hpp"
 #include "harness/schedule.hpp"
 #include "harness/seeds.hpp"
+#include "harness/world.hpp"
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
@@ -9,6 +11,7 @@
 #include <set>
 #include <thread>
 
+using namespace egretledge;
 using namespace egretledge::harness;
 
 BOOST_AUTO_TEST_CASE(every_scenario_holds)
@@ -163,3 +166,49 @@
     BOOST_TEST(first.starts == second.starts);
     BOOST_TEST(first.counters.starts_sent == second.counters.starts_sent);
 }
+
+namespace
+{
+
+// Data centres dc1, with hosts dc1-h1 and so on, and dc2, with one host; one shard each.
+world_settings small_world(std::uint32_t hosts)
+{
+    world_settings settings;
+    settings.shards = 1;
+    settings.host_list_lag = egretledge::milliseconds{5000};
+    settings.constant_delay = true;
+    centre_plan first{"dc1", {}, 2};
+    for (std::uint32_t h = 1; h <= hosts; ++h)
+        first.hosts.push_back("dc1-h" + std::to_string(h));
+    settings.centres = {first, {"dc2", {"dc2-h1"}, 1}};
+    return settings;
+}
+
+} // namespace
+
+// A host's last list of hosts is old: the platform is away. New revisions of the configuration come
+// from another data centre, and each brings the old list before the host again.
+BOOST_AUTO_TEST_CASE(an_old_host_list_proves_nothing_new_with_each_revision)
+{
+    using egretledge::milliseconds;
+    world w(small_world(2));
+    w.run_for(milliseconds{4000});
+    const auto owners = w.serving("dc1", 0);
+    BOOST_REQUIRE_EQUAL(owners.size(), 1U);
+    const std::string back = owners[0] == "dc1-h1" ? "dc1-h2" : "dc1-h1";
+    w.kill(back);
+    w.run_for(milliseconds{5000});
+    w.start(back); // on the list 3 s later
+    w.run_for(milliseconds{2000});
+    w.cut("dc1", "log");
+    w.run_for(milliseconds{1500});
+    w.cut("dc1-h1", "dc1-h2");
+    for (std::uint64_t i = 0; i < 12; ++i)
+    {
+        w.publish("{kind: policy, name: p" + std::to_string(i) + ", retry_limit: 1}", 1 + i,
+                  "late" + std::to_string(i));
+        w.run_for(milliseconds{1000});
+        BOOST_REQUIRE_LE(w.serving("dc1", 0).size(), 1U);
+    }
+    BOOST_TEST(w.host(back)->revision() >= 8U);
+}
