A job opened by a cancellation takes its body from the next call

What callers saw: nothing was reported; found by reading src/core for every retry of one key to the same or another owner.

Cause: a call that joins a job gives its body up, since the job has it. A job that a takeover found on the workers' records and that a cancellation opened has none. 1. A host takes a shard over. 2. It is asked to cancel a half-done job, and no worker answers the closing. 3. The job is submitted again: the call joins and loses its body. 4. The shard goes to another host, and the call is sent on with no service and empty payloads. 5. The new owner compares its digest with the record and answers "key_conflict": the caller is told that its own key belongs to another job.

Ruled out: a run of the empty body; a key without a record does not come this way.

Change: the first submission that joins such a job, whose digest is the record's, gives it its body.

--- a/src/core/job_owner.cpp
+++ b/src/core/job_owner.cpp
@@ -187,6 +187,10 @@
         answer = make_answer(answer_kind::recovering, "its deadline has passed", retry_soon);
         return call_fate::answered;
     }
+    // A job that a cancellation opened from the workers' records has no body yet. The call's own
+    // copy ends here, so the job needs it in case the call is given back.
+    if (text.kind() == wire::SUBMIT && job.service.empty())
+        take_body(job, text.job());
     job.callers.push_back({"", call});
     if (text.kind() == wire::CANCEL)
         cancel(now, job, out);
@@ -371,6 +375,19 @@
     return call_fate::joined;
 }
 
+// Puts the body into the job; what is known of its tasks stays.
+void job_owner::take_body(open_job& job, const wire::Job& body)
+{
+    job.service = body.service();
+    job.tasks.resize(static_cast<std::size_t>(body.tasks_size()));
+    for (std::size_t i = 0; i < job.tasks.size(); ++i)
+    {
+        const auto& task = body.tasks(static_cast<int>(i));
+        job.tasks[i].payload = task.payload();
+        job.tasks[i].size_ms = task.size_ms();
+    }
+}
+
 open_job& job_owner::open(instant now, std::uint64_t call, const wire::Call& text,
                           const job_key& key, const job_id& id)
 {
@@ -378,7 +395,6 @@
     job->id = id;
     job->team = text.team();
     job->key = text.key();
-    job->service = text.job().service();
     job->shard = shard_of(id, m_owners.shard_count());
     job->digest = digest_of(text.job());
     job->made = key.made;
@@ -386,13 +402,7 @@
     const milliseconds remaining{text.remaining_ms()};
     job->deadline = now.steady + remaining;
     job->deadline_wall = now.wall + remaining;
-    job->tasks.resize(static_cast<std::size_t>(text.job().tasks_size()));
-    for (std::size_t i = 0; i < job->tasks.size(); ++i)
-    {
-        const auto& task = text.job().tasks(static_cast<int>(i));
-        job->tasks[i].payload = task.payload();
-        job->tasks[i].size_ms = task.size_ms();
-    }
+    take_body(*job, text.job());
     job->unfinished = job->tasks.size();
     job->callers.push_back({"", call});
     m_deadlines.push({job->deadline, id});
--- a/src/core/job_owner.hpp
+++ b/src/core/job_owner.hpp
@@ -101,6 +101,7 @@
     bool refuse_early(const wire::Call& text, wire::Answer& answer) const;
     open_job& open(instant now, std::uint64_t call, const wire::Call& text, const job_key& key,
                    const job_id& id);
+    static void take_body(open_job& job, const wire::Job& body);
     // Whether "not run" may be said now of a key of this shard; asks for it if not.
     bool may_refuse(instant now, std::uint32_t shard, milliseconds made);
     void keep_refusals_announced(instant now);
--- a/tests/harness_test.cpp
+++ b/tests/harness_test.cpp
@@ -212,3 +212,40 @@
     }
     BOOST_TEST(w.host(back)->revision() >= 8U);
 }
+
+// A job that a takeover found half done is being ended by a cancellation, without its body. Its
+// body came with a later call, which has to take it along when the shard moves on.
+BOOST_AUTO_TEST_CASE(a_call_keeps_its_body_when_its_job_was_opened_by_a_cancellation)
+{
+    using egretledge::milliseconds;
+    auto settings = small_world(3);
+    settings.centres[0].workers = 1;
+    world w(settings);
+    w.run_for(milliseconds{4000});
+    const auto first = w.serving("dc1", 0).at(0);
+    wire::Job job;
+    job.set_service("once");
+    job.set_deadline_ms(20000);
+    job.add_tasks()->set_payload("p");
+    job.mutable_tasks(0)->set_size_ms(15000);
+    const auto key = w.make_key("dc1", "n");
+    w.submit(first, key, job);
+    w.run_for(milliseconds{500});
+    w.kill(first);
+    while (w.serving("dc1", 0).empty())
+        w.run_for(milliseconds{10});
+    const auto second = w.serving("dc1", 0).at(0);
+    w.run_for(milliseconds{200});
+    // No worker records that the job ends.
+    w.cut(second, "dc1-pool-1");
+    w.ask(second, key, wire::CANCEL);
+    w.run_for(milliseconds{100});
+    const auto call = w.submit(second, key, job);
+    w.run_for(milliseconds{100});
+    w.stop(second);
+    w.run_for(milliseconds{6000});
+    const auto* answer = w.calls().find(call);
+    BOOST_REQUIRE(answer->answered);
+    BOOST_TEST(name_of(kind_of(answer->answer)) == "cancelled");
+    BOOST_TEST(w.verdict() == "");
+}
