An owner uses new workers only once its grantor knows of them

Cause: a takeover asks the workers that the new owner knows for the shard's history, and takes a key without a record as never started. 1. A revision brings a worker. 2. The owner reads it and starts tasks there. 3. Its grantor, which reads the configuration from its peers, is cut off before it has the revision. 4. The owner dies; the grantor takes over within a lease, before it reads the configuration itself (up to 5 s). 5. The key comes again: the other workers' records lack those tasks, and they are started a second time.

Evidence: the new test in harness_test, on the code before: "task 0 started twice, at dc1-pool-1 [...] and at dc1-pool-2", tasks of a service that is not repeatable.

Ruled out: reading the configuration anew at each takeover. It needs the log, so that a takeover without it would leave earlier keys unknown until it is back.

Change: a grantor acknowledges no heartbeat of an owner whose revision is later than its own (it asks for that revision at once, as before). An owner uses a worker that a revision brought, or brought back, only after a heartbeat with that revision was acknowledged; a sole holder uses all.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -30,6 +30,7 @@
 #include "core/check.hpp"
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace egretledge
 {
@@ -78,8 +79,9 @@
 void dispatcher::configure(configuration_ptr config)
 {
     m_config = std::move(config);
+    std::vector<bool> before;
     for (auto& worker : m_workers)
-        worker->configured = false;
+        before.push_back(std::exchange(worker->configured, false));
     for (const auto& about : m_config->executors)
     {
         if (about.data_centre != m_settings.data_centre)
@@ -94,6 +96,9 @@
         auto& worker = *m_workers[entry->second];
         worker.about = about;
         worker.configured = true;
+        // A worker that comes back is new to hosts that began while it was away.
+        if (fresh || (entry->second < before.size() && !before[entry->second]))
+            worker.since = m_latest_worker = m_config->revision;
     }
     m_batches.resize(m_workers.size());
     for (const auto& [name, team] : m_config->teams)
@@ -357,7 +362,7 @@
 }
 
 // The worker with the most room that fits the service; ties go to a random one.
-int dispatcher::pick_worker(const service_object& service, instant now)
+int dispatcher::pick_worker(const service_object& service, std::uint64_t revision, instant now)
 {
     int best = -1;
     std::uint32_t best_room = 0;
@@ -370,7 +375,7 @@
         const auto index = (start + i) % m_workers.size();
         const auto& worker = *m_workers[index];
         const auto room = room_in(worker, ahead, now);
-        if (room > best_room && worker.about.fits(service))
+        if (room > best_room && worker.since <= revision && worker.about.fits(service))
         {
             best = static_cast<int>(index);
             best_room = room;
@@ -391,10 +396,13 @@
             m_queue.defer(next, now.steady + refused_pause);
             continue;
         }
-        const int worker = pick_worker(*service, now);
-        if (worker < 0 && fits_everywhere(*service))
+        start_permit permit;
+        const bool permitted = m_gate.permit(next.job->shard, now, permit);
+        const int worker = permitted ? pick_worker(*service, permit.revision, now) : -1;
+        const bool any_worker = permitted && permit.revision >= m_latest_worker;
+        if (worker < 0 && any_worker && fits_everywhere(*service))
             break;
-        if (worker < 0 || !add_start(static_cast<std::uint32_t>(worker), next, now))
+        if (worker < 0 || !add_start(static_cast<std::uint32_t>(worker), next, permit, now))
         {
             m_queue.defer(next, now.steady + refused_pause);
             continue;
@@ -413,15 +421,13 @@
                        { return !worker->configured || worker->about.fits(service); });
 }
 
-// Takes one task from the queue into the worker's batch; false if its shard may not start tasks.
-bool dispatcher::add_start(std::uint32_t index, const queued_task& next, instant now)
+// Takes one task from the queue into the worker's batch; false if its time is over.
+bool dispatcher::add_start(std::uint32_t index, const queued_task& next, const start_permit& permit,
+                           instant now)
 {
     auto& worker = *m_workers[index];
     auto& job = *next.job;
     auto& task = job.tasks[next.task];
-    start_permit permit;
-    if (!m_gate.permit(job.shard, now, permit))
-        return false;
     const auto until = std::min(permit.until, job.deadline);
     if (until <= now.steady)
         return false;
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -19,11 +19,12 @@
 namespace egretledge
 {
 
-// Under which epoch, and until when, tasks of a shard may start.
+// Under which epoch, until when, and on which workers tasks of a shard may start.
 struct start_permit
 {
     epoch owner_epoch;
     microseconds until{0};
+    std::uint64_t revision = 0; // workers of later revisions may not be used
 };
 
 // Says whether this host may start tasks of a shard now.
@@ -123,8 +124,9 @@
     void ask_results(std::uint32_t worker, instant now, action_list& out);
     void ask_doubtful(std::uint32_t worker, instant now, action_list& out);
     void send_batch(std::uint32_t worker, instant now, action_list& out);
-    bool add_start(std::uint32_t worker, const queued_task& next, instant now);
-    int pick_worker(const service_object& service, instant now);
+    bool add_start(std::uint32_t worker, const queued_task& next, const start_permit& permit,
+                   instant now);
+    int pick_worker(const service_object& service, std::uint64_t revision, instant now);
     void probe_load(instant now, action_list& out);
 
     void on_grant(instant now, const question& about, const lease_grant& grant,
@@ -170,6 +172,7 @@
     double m_share = 1;
     std::size_t m_outstanding_count = 0;
     std::size_t m_quarantined = 0;
+    std::uint64_t m_latest_worker = 0; // the revision that last brought a new worker
     std::uint64_t m_next_request = 1;
     microseconds m_next_lease_check{0};
     microseconds m_next_probe{0};
--- a/src/core/job_owner.cpp
+++ b/src/core/job_owner.cpp
@@ -133,6 +133,7 @@
 {
     granted.until = m_owners.serves_until(shard, now);
     granted.owner_epoch = m_owners.epoch_of(shard);
+    granted.revision = m_owners.usable_revision(shard);
     return granted.until > now.steady;
 }
 
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -84,6 +84,7 @@
     log(out, "event=config_in_force revision=" + std::to_string(m_config.revision()));
     if (!m_owners)
         return;
+    m_owners->set_revision(m_config.revision());
     m_jobs->configure(m_config.current());
     if (!m_have_listing)
         return;
--- a/src/core/ownership.cpp
+++ b/src/core/ownership.cpp
@@ -41,7 +41,9 @@
 // none. Anyone else who takes over has to assume all.
 //
 // The epoch (term, direct) fences at the workers: a start under a lower epoch than the worker has
-// seen for the shard is refused.
+// seen for the shard is refused. The next owner asks and fences the workers that it knows. So a
+// grantor acknowledges nothing while the owner has a later configuration than itself, and the owner
+// uses the workers of a later revision only once the grantor has acknowledged it.
 
 #include "core/ownership.hpp"
 #include "core/check.hpp"
@@ -327,6 +329,7 @@
         state.direct_held = false;
         state.promised = microseconds{0};
         state.refusals_wanted = milliseconds{0};
+        state.revision_acked = 0;
     }
     // The claim of a handover is the former owner's: an own one that was open as well did not win.
     if (is_self && !with_memory && !state.sole && state.claimed_at > microseconds{0})
@@ -507,6 +510,12 @@
     claim(shard, now, m_settings.self, pick_grantor(now, m_settings.self), "unowned", out);
 }
 
+std::uint64_t ownership::usable_revision(std::uint32_t shard) const
+{
+    const auto& state = m_shards.at(shard);
+    return state.sole ? m_revision : state.revision_acked;
+}
+
 milliseconds ownership::refusal_bound(std::uint32_t shard) const
 {
 #ifdef EGRETLEDGE_BREAK_REFUSALS
@@ -628,7 +637,8 @@
             }
         }
         auto& sent = m_sent[name];
-        sent.push_back({m_sequence, now.steady});
+        sent.push_back({m_sequence, now.steady, m_revision});
+        beat.set_config_revision(m_revision);
         if (sent.size() > beats_remembered)
             sent.erase(sent.begin());
         out.push_back(std::move(send));
@@ -695,6 +705,9 @@
                                                      const wire::Heartbeat& beat)
 {
     std::vector<std::uint32_t> granted;
+    // The owner may start tasks on workers that this host has not read of: it could not ask them.
+    if (beat.config_revision() > m_revision)
+        return granted;
     for (const auto& line : beat.owned())
     {
         if (line.shard() >= m_shards.size() || !line.renew())
@@ -730,6 +743,7 @@
             continue;
         state.lease_until =
             std::max(state.lease_until, beat->sent + microseconds{m_settings.lease});
+        state.revision_acked = std::max(state.revision_acked, beat->revision);
         if (lease_valid(state, now))
             state.lapsed = false;
         if (state.refusals_beat != 0 && ack.sequence() >= state.refusals_beat)
--- a/src/core/ownership.hpp
+++ b/src/core/ownership.hpp
@@ -82,6 +82,12 @@
     const host_ref& owner_of(std::uint32_t shard) const { return m_shards.at(shard).owner; }
     bool owned_by_self(std::uint32_t shard) const;
 
+    // The revision of the configuration that is in force at this host.
+    void set_revision(std::uint64_t revision) { m_revision = revision; }
+    // Workers of `shard` that came with a later revision may not be used yet: whoever takes over
+    // has to know them.
+    std::uint64_t usable_revision(std::uint32_t shard) const;
+
     // Keys made up to this time may be answered "not run": the grantor knows that they may have
     // been.
     milliseconds refusal_bound(std::uint32_t shard) const;
@@ -136,12 +142,13 @@
 
         // As the owner.
         microseconds lease_until{0};
-        bool sole = false;             // no other host may take this shard
-        bool offered = false;          // was the sole holder; the claim of its grantor is open
-        bool frozen = false;           // an own claim is open: the old lease is not renewed
-        bool direct_given = false;     // the grantor may act without the log
-        bool lapsed = false;           // the lease lapsed since the grantor got direct_given
-        std::uint64_t direct_beat = 0; // the latest heartbeat that gave it
+        bool sole = false;                // no other host may take this shard
+        bool offered = false;             // was the sole holder; the claim of its grantor is open
+        bool frozen = false;              // an own claim is open: the old lease is not renewed
+        bool direct_given = false;        // the grantor may act without the log
+        bool lapsed = false;              // the lease lapsed since the grantor got direct_given
+        std::uint64_t direct_beat = 0;    // the latest heartbeat that gave it
+        std::uint64_t revision_acked = 0; // of the configuration; a grantor has it
         bool handing_over = false;
         host_ref handover_to;
         host_ref unaware; // the owner before a direct takeover, until it is known to know
@@ -183,6 +190,7 @@
     {
         std::uint64_t sequence = 0;
         microseconds sent{0};
+        std::uint64_t revision = 0;
     };
 
     void send_heartbeats(instant now, action_list& out);
@@ -225,6 +233,7 @@
     microseconds m_next_heartbeat{0};
     microseconds m_started{-1};
     std::uint64_t m_sequence = 0;
+    std::uint64_t m_revision = 0;
     std::uint64_t m_next_offset = 0;
     std::uint64_t m_first_kept = 0;
     bool m_log_read = false;
--- a/src/core/worker_view.hpp
+++ b/src/core/worker_view.hpp
@@ -38,6 +38,7 @@
     std::uint32_t index = 0;
     bool configured = true;
     bool leaving = false;
+    std::uint64_t since = 0; // the revision that brought it, or brought it back
 
     // The lease; 0 means none.
     std::uint64_t incarnation = 0;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -643,7 +643,7 @@
 public:
     bool permit(std::uint32_t, instant now, start_permit& granted) const override
     {
-        granted = {{1, 0}, now.steady + milliseconds{2000}};
+        granted = {{1, 0}, now.steady + milliseconds{2000}, 1};
         return true;
     }
 };
--- a/tests/harness_test.cpp
+++ b/tests/harness_test.cpp
@@ -249,3 +249,56 @@
     BOOST_TEST(name_of(kind_of(answer->answer)) == "cancelled");
     BOOST_TEST(w.verdict() == "");
 }
+
+// A worker that the configuration has just added was told to start tasks by an owner whose grantor
+// had not read of it yet. The grantor takes over without asking that worker.
+BOOST_AUTO_TEST_CASE(a_takeover_asks_the_workers_of_the_latest_configuration)
+{
+    using egretledge::milliseconds;
+    auto settings = small_world(2);
+    settings.centres[0].workers = 2;
+    world w(settings);
+    const auto pool = [](int count)
+    {
+        return "{kind: executor_pool, name: dc1-pool, data_centre: dc1, address: 127.0.0.1, "
+               "first_port: 20000, memory: 32GiB, slots: 4, count: " +
+               std::to_string(count) + "}";
+    };
+    w.publish(pool(1), 1, "fewer");
+    w.run_for(milliseconds{4000});
+    // Hosts that began since know nothing of the worker that left.
+    for (const auto& name : {"dc1-h1", "dc1-h2"})
+    {
+        w.kill(name);
+        w.start(name);
+        w.run_for(milliseconds{8000});
+    }
+    const auto owners = w.serving("dc1", 0);
+    BOOST_REQUIRE_EQUAL(owners.size(), 1U);
+    const auto owner = owners[0];
+    const std::string other = owner == "dc1-h1" ? "dc1-h2" : "dc1-h1";
+    BOOST_TEST(w.host(owner)->revision() == 2U);
+    // The owner reads the next revision; its grantor is cut from it, and from other data centres.
+    w.cut("dc1-h1", "dc1-h2");
+    w.cut(other, "dc2");
+    w.publish(pool(2), 2, "more");
+    w.run_for(milliseconds{300});
+    BOOST_REQUIRE(w.host(owner)->revision() == 3U);
+    BOOST_REQUIRE(w.host(other)->revision() == 2U);
+    wire::Job job;
+    job.set_service("once");
+    for (int i = 0; i < 8; ++i)
+    {
+        job.add_tasks()->set_payload("p" + std::to_string(i));
+        job.mutable_tasks(i)->set_size_ms(3000);
+    }
+    const auto key = w.make_key("dc1", "n");
+    w.submit(owner, key, job);
+    w.run_for(milliseconds{300});
+    w.kill(owner);
+    while (w.serving("dc1", 0).empty())
+        w.run_for(milliseconds{100});
+    w.submit(other, key, job);
+    w.run_for(milliseconds{8000});
+    BOOST_TEST(w.verdict() == "");
+}
