--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -84,10 +84,11 @@
     log(out, "event=config_in_force revision=" + std::to_string(m_config.revision()));
     if (!m_owners)
         return;
+    m_owners->set_revision(m_config.revision());
     m_jobs->configure(m_config.current());
     if (!m_have_listing)
         return;
-    m_owners->on_host_list(now, m_listing.hosts);
+    m_owners->on_host_list(m_listing_asked, m_listing_answered, m_listing.hosts);
     m_router->set_hosts(m_listing.hosts);
     m_jobs->dispatch().set_leaving_workers(m_listing.leaving_workers);
 }
@@ -97,6 +98,7 @@
     if (!m_hosts_asked && now.steady >= m_next_hosts)
     {
         m_hosts_asked = true;
+        m_hosts_asked_at = now;
         out.push_back(actions::fetch_hosts{});
     }
     read_streams(now, out);
@@ -296,10 +298,12 @@
     if (!m_have_listing)
         log(out, "event=host_list hosts=" + std::to_string(listing->hosts.size()));
     m_listing = *listing;
+    m_listing_asked = m_hosts_asked_at;
+    m_listing_answered = now;
     m_have_listing = true;
     if (!m_owners)
         return;
-    m_owners->on_host_list(now, m_listing.hosts);
+    m_owners->on_host_list(m_listing_asked, m_listing_answered, m_listing.hosts);
     m_router->set_hosts(m_listing.hosts);
     m_jobs->dispatch().set_leaving_workers(m_listing.leaving_workers);
 }
@@ -511,7 +515,8 @@
     m_next_rebalance = now.steady + microseconds{m_settings.rebalance_every};
     for (std::uint32_t shard = 0; shard < m_owners->shard_count(); ++shard)
     {
-        if (!m_owners->may_serve(shard, now) || m_handovers.contains(shard))
+        if (!m_owners->may_serve(shard, now) || m_handovers.contains(shard) ||
+            !m_owners->may_pass_on(shard, now))
             continue;
         std::uint32_t theirs = 0;
         const auto to = least_owning_peer(now, theirs);
--- a/src/core/ownership.cpp
+++ b/src/core/ownership.cpp
@@ -22,10 +22,13 @@
 //  3. While the owner cannot reach the log it says so in its heartbeats ("direct"). A grantor that
 //     last heard "direct" takes over on its own word, without the log, and is then the sole holder.
 //     An owner that has said "direct" gives up right 2 until the grantor acknowledges a heartbeat
-//     without it: at any time, at most one of the two can move the shard without the other.
+//     without it: at any time, at most one of the two can move the shard without the other. If the
+//     grantor is over, the owner resumes. So a grantor that took over passes the shard on, to a new
+//     grantor or owner, only once the former owner has said that it knows, or is over as well.
 //  4. Any other host may claim only when both owner and grantor are proven to be over: a higher
 //     incarnation of the same name was heard, or the platform's list has omitted the host for
-//     longer than the list ever trails. Silence alone proves nothing.
+//     longer than the list ever trails since the process was first heard of. Silence alone proves
+//     nothing.
 //  5. A shard without any claim may be claimed by all; the log decides.
 //
 // The trade-off: no vote and no quorum, so one silent grantor in an outage of the log stalls its
@@ -38,7 +41,9 @@
 // none. Anyone else who takes over has to assume all.
 //
 // The epoch (term, direct) fences at the workers: a start under a lower epoch than the worker has
-// seen for the shard is refused.
+// seen for the shard is refused. The next owner asks and fences the workers that it knows. So a
+// grantor acknowledges nothing while the owner has a later configuration than itself, and the owner
+// uses the workers of a later revision only once the grantor has acknowledged it.
 
 #include "core/ownership.hpp"
 #include "core/check.hpp"
@@ -177,15 +182,19 @@
     if (omitted == m_unlisted.end())
         return false;
     // The list may omit a host because an earlier process of that name ended, while a newer one
-    // already runs and is not named yet. Only an omission that outlasts the list's lag proves that
-    // no process of that name runs. Only time over which the list was read counts.
-    return m_list_read - omitted->second > microseconds{m_settings.host_list_lag};
+    // already runs and is not named yet. Only an omission that outlasts the list's lag, counted
+    // from the first word of the newest process, proves that no process of that name runs. Only
+    // time over which the list was read counts.
+    const auto newest = m_newest.find(host.name);
+    const auto since = newest == m_newest.end() ? omitted->second
+                                                : std::max(omitted->second, newest->second.known);
+    return m_list_read - since > microseconds{m_settings.host_list_lag};
 }
 
-void ownership::on_host_list(instant now, const std::vector<listed_host>& hosts)
+void ownership::on_host_list(instant asked, instant answered, const std::vector<listed_host>& hosts)
 {
     // What happened while the list could not be read is not known: omissions count anew.
-    if (now.steady - m_list_read > longest_list_gap)
+    if (asked.steady - m_list_read > longest_list_gap)
         m_unlisted.clear();
     std::vector<std::string> named;
     for (const auto& host : hosts)
@@ -193,16 +202,16 @@
         if (host.data_centre != m_settings.data_centre)
             continue;
         named.push_back(host.name);
-        m_listed[host.name] = now.steady;
+        m_listed[host.name] = answered.steady;
         m_unlisted.erase(host.name);
         if (host.name != m_settings.self.name)
             m_peers.try_emplace(host.name);
     }
-    m_list_read = now.steady;
+    m_list_read = asked.steady;
     const auto note_missing = [&](const std::string& name)
     {
         if (!name.empty() && std::find(named.begin(), named.end(), name) == named.end())
-            m_unlisted.try_emplace(name, now.steady);
+            m_unlisted.try_emplace(name, answered.steady);
     };
     for (const auto& shard : m_shards)
     {
@@ -302,6 +311,8 @@
         state.renewed = false;
         state.refusals_until = milliseconds{0};
     }
+    note_process(now, owner);
+    note_process(now, grantor);
     state.current = current;
     state.owner = owner;
     state.grantor = grantor;
@@ -312,13 +323,16 @@
     state.handing_over = false;
     state.handover_to = {};
     state.sole = is_self && grantor.empty();
+    state.unaware = {};
     if (!same_owner)
     {
         state.direct_held = false;
         state.promised = microseconds{0};
         state.refusals_wanted = milliseconds{0};
+        state.revision_acked = 0;
     }
-    if (is_self && !state.sole && state.claimed_at > microseconds{0})
+    // The claim of a handover is the former owner's: an own one that was open as well did not win.
+    if (is_self && !with_memory && !state.sole && state.claimed_at > microseconds{0})
         state.lease_until =
             std::max(state.lease_until, state.claimed_at + microseconds{m_settings.lease});
     if (!is_self)
@@ -343,8 +357,11 @@
 {
     auto& state = m_shards[shard];
     const epoch next{state.current.term, state.current.direct + steps};
-    const bool was_self = state.owner == m_settings.self;
+    const auto former = state.owner;
+    const bool was_self = former == m_settings.self;
     set_owner(shard, now, next, m_settings.self, {}, false, events);
+    if (!was_self)
+        state.unaware = former;
     if (was_self)
         events.gained.push_back({shard, next, gain_reason::takeover, false, milliseconds{0}});
 }
@@ -402,7 +419,7 @@
     if (state.sole)
     {
         const auto grantor = pick_grantor(now, m_settings.self);
-        if (m_log_reachable && !grantor.empty())
+        if (m_log_reachable && !grantor.empty() && may_pass_on(shard, now))
         {
             // Nobody else can move a sole holder's shard, so the new grantor's promises count
             // from now, before its claim is read.
@@ -493,6 +510,12 @@
     claim(shard, now, m_settings.self, pick_grantor(now, m_settings.self), "unowned", out);
 }
 
+std::uint64_t ownership::usable_revision(std::uint32_t shard) const
+{
+    const auto& state = m_shards.at(shard);
+    return state.sole ? m_revision : state.revision_acked;
+}
+
 milliseconds ownership::refusal_bound(std::uint32_t shard) const
 {
 #ifdef EGRETLEDGE_BREAK_REFUSALS
@@ -513,6 +536,25 @@
     m_next_heartbeat = now.steady;
 }
 
+bool ownership::may_pass_on(std::uint32_t shard, instant now) const
+{
+    const auto& state = m_shards.at(shard);
+    return state.unaware.empty() || proven_over(state.unaware, now);
+}
+
+// A former owner that no longer says that it owns a shard knows that it was taken over.
+void ownership::note_aware(const host_ref& from, const wire::Heartbeat& beat)
+{
+    for (std::uint32_t shard = 0; shard < m_shards.size(); ++shard)
+    {
+        const bool still_owns =
+            std::any_of(beat.owned().begin(), beat.owned().end(),
+                        [&](const wire::OwnedShard& line) { return line.shard() == shard; });
+        if (m_shards[shard].unaware == from && !still_owns)
+            m_shards[shard].unaware = {};
+    }
+}
+
 void ownership::begin_handover(std::uint32_t shard)
 {
     EGRET_CHECK(owned_by_self(shard), "only an owner hands over");
@@ -595,15 +637,24 @@
             }
         }
         auto& sent = m_sent[name];
-        sent.push_back({m_sequence, now.steady});
+        sent.push_back({m_sequence, now.steady, m_revision});
+        beat.set_config_revision(m_revision);
         if (sent.size() > beats_remembered)
             sent.erase(sent.begin());
         out.push_back(std::move(send));
     }
 }
 
+void ownership::note_process(instant now, const host_ref& host)
+{
+    auto& newest = m_newest[host.name];
+    if (host.incarnation > newest.incarnation)
+        newest = {host.incarnation, now.steady};
+}
+
 void ownership::note_incarnation(instant now, const host_ref& from)
 {
+    note_process(now, from);
     auto& peer = m_peers[from.name];
     if (from.incarnation > peer.incarnation)
         peer = {from.incarnation, now.steady, 0, false};
@@ -622,6 +673,7 @@
     peer.sequence = beat.sequence();
     peer.leaving = beat.leaving();
     adopt_claims(from, now, beat, events);
+    note_aware(from, beat);
     const auto granted = grant_renewals(from, now, beat);
     if (granted.empty())
         return;
@@ -653,6 +705,9 @@
                                                      const wire::Heartbeat& beat)
 {
     std::vector<std::uint32_t> granted;
+    // The owner may start tasks on workers that this host has not read of: it could not ask them.
+    if (beat.config_revision() > m_revision)
+        return granted;
     for (const auto& line : beat.owned())
     {
         if (line.shard() >= m_shards.size() || !line.renew())
@@ -688,6 +743,7 @@
             continue;
         state.lease_until =
             std::max(state.lease_until, beat->sent + microseconds{m_settings.lease});
+        state.revision_acked = std::max(state.revision_acked, beat->revision);
         if (lease_valid(state, now))
             state.lapsed = false;
         if (state.refusals_beat != 0 && ack.sequence() >= state.refusals_beat)
--- a/src/core/ownership.hpp
+++ b/src/core/ownership.hpp
@@ -70,7 +70,9 @@
     void on_heartbeat(instant now, const host_ref& from, const wire::Heartbeat& beat,
                       action_list& out, ownership_events& events);
     void on_heartbeat_ack(instant now, const host_ref& from, const wire::HeartbeatAck& ack);
-    void on_host_list(instant now, const std::vector<listed_host>& hosts);
+    // The platform's list as it was some time between the question and the answer; the same list
+    // may be given again.
+    void on_host_list(instant asked, instant answered, const std::vector<listed_host>& hosts);
 
     // True while this host may decide for `shard`: start tasks and say "not run".
     bool may_serve(std::uint32_t shard, instant now) const;
@@ -80,6 +82,12 @@
     const host_ref& owner_of(std::uint32_t shard) const { return m_shards.at(shard).owner; }
     bool owned_by_self(std::uint32_t shard) const;
 
+    // The revision of the configuration that is in force at this host.
+    void set_revision(std::uint64_t revision) { m_revision = revision; }
+    // Workers of `shard` that came with a later revision may not be used yet: whoever takes over
+    // has to know them.
+    std::uint64_t usable_revision(std::uint32_t shard) const;
+
     // Keys made up to this time may be answered "not run": the grantor knows that they may have
     // been.
     milliseconds refusal_bound(std::uint32_t shard) const;
@@ -89,9 +97,11 @@
     }
     // Asks the grantor to know of refusals of keys made up to `until`.
     void announce_refusals(instant now, std::uint32_t shard, milliseconds until);
-    // Begins to give `shard` away: until it is over or cancelled, may_serve() is false.
     // Shards of this data centre owned by `host`, as far as this host knows.
     std::uint32_t owned_by(const std::string& host) const;
+    // False while an owner from which this host took `shard` on its own word may not know of it.
+    bool may_pass_on(std::uint32_t shard, instant now) const;
+    // Begins to give `shard` away: until it is over or cancelled, may_serve() is false.
     void begin_handover(std::uint32_t shard);
     // The receiver holds this host's memory of the shard: claims the shard in the receiver's name.
     void finish_handover(instant now, std::uint32_t shard, const host_ref& to);
@@ -132,14 +142,16 @@
 
         // As the owner.
         microseconds lease_until{0};
-        bool sole = false;             // no other host may take this shard
-        bool offered = false;          // was the sole holder; the claim of its grantor is open
-        bool frozen = false;           // an own claim is open: the old lease is not renewed
-        bool direct_given = false;     // the grantor may act without the log
-        bool lapsed = false;           // the lease lapsed since the grantor got direct_given
-        std::uint64_t direct_beat = 0; // the latest heartbeat that gave it
+        bool sole = false;                // no other host may take this shard
+        bool offered = false;             // was the sole holder; the claim of its grantor is open
+        bool frozen = false;              // an own claim is open: the old lease is not renewed
+        bool direct_given = false;        // the grantor may act without the log
+        bool lapsed = false;              // the lease lapsed since the grantor got direct_given
+        std::uint64_t direct_beat = 0;    // the latest heartbeat that gave it
+        std::uint64_t revision_acked = 0; // of the configuration; a grantor has it
         bool handing_over = false;
         host_ref handover_to;
+        host_ref unaware; // the owner before a direct takeover, until it is known to know
 
         // Refusals: up to which key time they are wanted, and known to the grantor.
         milliseconds refusals_wanted{0};
@@ -167,10 +179,18 @@
         bool leaving = false;
     };
 
+    // The newest process of a name, and when this host first had word of it.
+    struct newest_process
+    {
+        std::uint64_t incarnation = 0;
+        microseconds known{0};
+    };
+
     struct sent_beat
     {
         std::uint64_t sequence = 0;
         microseconds sent{0};
+        std::uint64_t revision = 0;
     };
 
     void send_heartbeats(instant now, action_list& out);
@@ -181,6 +201,7 @@
     void retry_handover(std::uint32_t shard, instant now, action_list& out);
     void adopt_claims(const host_ref& from, instant now, const wire::Heartbeat& beat,
                       ownership_events& events);
+    void note_aware(const host_ref& from, const wire::Heartbeat& beat);
     std::vector<std::uint32_t> grant_renewals(const host_ref& from, instant now,
                                               const wire::Heartbeat& beat);
     bool lease_valid(const shard_state& state, instant now) const;
@@ -192,6 +213,7 @@
                        ownership_events& events);
     void set_owner(std::uint32_t shard, instant now, epoch current, const host_ref& owner,
                    const host_ref& grantor, bool with_memory, ownership_events& events);
+    void note_process(instant now, const host_ref& host);
     void note_incarnation(instant now, const host_ref& from);
     bool proven_over(const host_ref& host, instant now) const;
     bool aged_out_safely(instant now) const;
@@ -206,10 +228,12 @@
     std::map<std::string, std::vector<sent_beat>> m_sent;
     std::map<std::string, microseconds> m_listed;   // host -> when the list last named it
     std::map<std::string, microseconds> m_unlisted; // host -> since when the list omits it
-    microseconds m_list_read{-1};
+    std::map<std::string, newest_process> m_newest;
+    microseconds m_list_read{-1}; // when the list was last asked for with success
     microseconds m_next_heartbeat{0};
     microseconds m_started{-1};
     std::uint64_t m_sequence = 0;
+    std::uint64_t m_revision = 0;
     std::uint64_t m_next_offset = 0;
     std::uint64_t m_first_kept = 0;
     bool m_log_read = false;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <random>
+#include <set>
 
 using namespace egretledge;
 
@@ -235,10 +236,11 @@
     {
         std::vector<listed_host> listed;
         for (std::size_t i = 0; i < nodes.size(); ++i)
-            listed.push_back({"h" + std::to_string(i + 1), "dc", "", "", false});
+            if (!omitted.contains(i))
+                listed.push_back({"h" + std::to_string(i + 1), "dc", "", "", false});
         for (const auto i : up)
         {
-            nodes[i]->on_host_list(now, listed);
+            nodes[i]->on_host_list({now.steady - list_age, now.wall}, now, listed);
             read(i, now, log_up);
             action_list out;
             ownership_events events;
@@ -309,6 +311,8 @@
 
     std::vector<std::unique_ptr<ownership>> nodes;
     std::map<std::size_t, std::uint64_t> incarnations; // of the running processes
+    microseconds list_age{0};                          // from the list's question to its answer
+    std::set<std::size_t> omitted;                     // by the platform's list
     std::vector<std::string> records;
     std::vector<std::pair<std::size_t, gained_shard>> gains;
 };
@@ -349,6 +353,7 @@
     // The former owner comes back with the log: it does not serve, and learns the new owner.
     t.run(12000, 16000, {0, 1});
     BOOST_TEST((t.serving(16000) == std::vector<std::size_t>{other}));
+    BOOST_TEST(t.nodes[other]->may_pass_on(0, at(16000)));
 }
 
 BOOST_AUTO_TEST_CASE(an_owner_whose_grantor_died_names_a_new_one_without_a_gap)
@@ -402,6 +407,128 @@
     BOOST_TEST(!t.gains.back().second.refusals_known);
 }
 
+// A host was away for longer than the list ever trails. It is back and serves, and the list does
+// not name it yet: that omission is of its former process, and proves nothing of the new one.
+BOOST_AUTO_TEST_CASE(an_omission_from_before_a_process_began_does_not_prove_it_over)
+{
+    table t(2);
+    t.run(0, 3000, {0, 1});
+    const auto back = t.serving(3000).at(0);
+    const auto other = 1 - back;
+    t.omitted = {back};
+    t.run(3000, 36000, {other});
+    BOOST_REQUIRE((t.serving(36000) == std::vector<std::size_t>{other}));
+    t.restart(back);
+    t.run(36000, 38000, {0, 1});
+    t.run(38000, 39000, {0, 1}, false);
+    // Without the log, and each without the other: only the grantor may move.
+    for (std::int64_t ms = 39000; ms < 45000; ms += 10)
+    {
+        t.step(at(ms), {back}, false);
+        t.step(at(ms), {other}, false);
+        BOOST_REQUIRE_LE(t.serving(ms).size(), 1U);
+    }
+    BOOST_TEST((t.serving(45000) == std::vector<std::size_t>{back}));
+}
+
+// A list that was long on its way shows who was omitted when it was asked for, not when it came.
+BOOST_AUTO_TEST_CASE(a_late_host_list_counts_from_its_question)
+{
+    table t(2);
+    t.run(0, 3000, {0, 1});
+    const auto back = t.serving(3000).at(0);
+    const auto other = 1 - back;
+    t.omitted = {back};
+    t.run(3000, 36000, {other});
+    t.restart(back);
+    t.run(36000, 61000, {0, 1});
+    t.run(61000, 62000, {0, 1}, false);
+    // The list names the host from 66 s on: the last answer without it comes just before 70 s.
+    t.list_age = milliseconds{4000};
+    for (std::int64_t ms = 62000; ms < 69500; ms += 10)
+    {
+        t.step(at(ms), {back}, false);
+        t.step(at(ms), {other}, false);
+        BOOST_REQUIRE_LE(t.serving(ms).size(), 1U);
+    }
+    BOOST_TEST((t.serving(69500) == std::vector<std::size_t>{back}));
+}
+
+// A grantor that took over on its own word passed the shard on by the log and died. The former
+// owner knew of none of it, and took the grantor's end as leave to go on alone.
+BOOST_AUTO_TEST_CASE(a_former_owner_does_not_resume_what_its_grantor_has_passed_on)
+{
+    table t(3);
+    t.run(0, 3000, {0, 1, 2});
+    const auto owner = t.serving(3000).at(0);
+    const auto grantor = (owner + 1) % 3;
+    const auto third = (owner + 2) % 3;
+    t.run(3000, 4000, {0, 1, 2}, false);
+    // The owner is cut off. The grantor takes over, and then reaches the log again.
+    const auto apart = [&](std::int64_t from, std::int64_t to, bool log_up)
+    {
+        for (auto ms = from; ms < to; ms += 10)
+        {
+            t.step(at(ms), {owner}, false);
+            t.step(at(ms), {grantor, third}, log_up);
+            BOOST_REQUIRE_LE(t.serving(ms).size(), 1U);
+        }
+    };
+    apart(4000, 8000, false);
+    BOOST_REQUIRE((t.serving(8000) == std::vector<std::size_t>{grantor}));
+    BOOST_TEST(!t.nodes[grantor]->may_pass_on(0, at(8000)));
+    apart(8000, 10000, true);
+    // It dies; its next process reaches the former owner only, and the third host the log only.
+    t.restart(grantor);
+    for (std::int64_t ms = 10000; ms < 16000; ms += 10)
+    {
+        t.step(at(ms), {owner, grantor}, false);
+        t.step(at(ms), {third}, true);
+        BOOST_REQUIRE_LE(t.serving(ms).size(), 1U);
+    }
+    // Once all hear each other, one host serves.
+    t.run(16000, 20000, {0, 1, 2});
+    BOOST_TEST(t.serving(20000).size() == 1U);
+}
+
+// A host had a claim of its own open when it read that the shard was handed to it. Its lease counts
+// from a heartbeat that the new grantor acknowledged, not from its own claim, which did not win.
+BOOST_AUTO_TEST_CASE(a_handover_gives_no_lease_from_the_receivers_own_claim)
+{
+    table t(2);
+    t.run(0, 3000, {0, 1});
+    const auto owner = t.serving(3000).at(0);
+    const auto other = 1 - owner;
+    const auto under = t.nodes[owner]->epoch_of(0);
+    t.nodes[owner]->begin_handover(0);
+    t.nodes[other]->on_memory_received(0, under);
+    t.nodes[owner]->finish_handover(at(3000), 0, {"h" + std::to_string(other + 1), 1});
+    // They are cut from each other, and the receiver from the log as well, before it reads of it.
+    std::int64_t ms = 3000;
+    const auto claims = t.nodes[other]->claims_made();
+    for (; t.nodes[other]->claims_made() == claims; ms += 10)
+    {
+        BOOST_REQUIRE_LT(ms, 6000);
+        t.step(at(ms), {owner}, true);
+        t.step(at(ms), {other}, false);
+    }
+    // It reads the page that it asked for before the former owner took the shard back.
+    log_page page{0, t.records.size(), {}};
+    for (std::size_t o = 0; o < t.records.size(); ++o)
+        page.entries.push_back({o, t.records[o]});
+    ownership_events events;
+    t.nodes[other]->on_log_page(at(ms), page, events);
+    BOOST_REQUIRE(t.nodes[other]->owned_by_self(0));
+    BOOST_REQUIRE(!t.nodes[owner]->owned_by_self(0));
+    for (; ms < 8000; ms += 10)
+    {
+        t.step(at(ms), {owner}, true);
+        t.step(at(ms), {other}, false);
+        BOOST_REQUIRE_LE(t.serving(ms).size(), 1U);
+    }
+    BOOST_TEST((t.serving(8000) == std::vector<std::size_t>{owner}));
+}
+
 // A heartbeat that was sent before the owner named another grantor arrives late.
 BOOST_AUTO_TEST_CASE(a_late_heartbeat_of_an_earlier_epoch_is_not_granted)
 {
@@ -516,7 +643,7 @@
 public:
     bool permit(std::uint32_t, instant now, start_permit& granted) const override
     {
-        granted = {{1, 0}, now.steady + milliseconds{2000}};
+        granted = {{1, 0}, now.steady + milliseconds{2000}, 1};
         return true;
     }
 };
@@ -589,3 +716,91 @@
     BOOST_TEST(counters.answers_stray == 4U);
     BOOST_TEST(sender.outstanding() == 1U);
 }
+
+namespace
+{
+
+// A dispatcher with one worker, whose answers are given by hand.
+struct one_worker
+{
+    one_worker() : sender(settings(), gate, counters, 1)
+    {
+        sender.configure(one_worker_config());
+        job.id = {1, 2};
+        job.service = "s";
+        job.team = "t";
+        job.deadline = milliseconds{60000};
+    }
+    static dispatcher_settings settings()
+    {
+        dispatcher_settings text;
+        text.self = {"h", 1};
+        text.data_centre = "dc";
+        return text;
+    }
+    // Asks for a lease, if one is due, and has it granted; false if none was asked for.
+    bool grant(std::int64_t ms, std::uint64_t lease)
+    {
+        action_list out;
+        sender.on_tick(at(ms), out);
+        const auto request = request_of<lease_ask>(out);
+        if (request != 0)
+            answer(ms, request, lease_grant{7, lease, 8, 0, 10'000'000, 0});
+        return request != 0;
+    }
+    // Sends one more task of the job as a batch of its own; returns the request's number.
+    std::uint64_t send(std::int64_t ms)
+    {
+        job.tasks.emplace_back();
+        ++job.unfinished;
+        sender.enqueue(job, at(ms));
+        action_list out;
+        sender.pump(at(ms), out);
+        return request_of<start_batch>(out);
+    }
+    void answer(std::int64_t ms, std::uint64_t request, worker_answer text)
+    {
+        BOOST_REQUIRE(request != 0);
+        sender.on_worker_answer(at(ms), request, text, events);
+    }
+
+    open_gate gate;
+    node_counters counters;
+    dispatcher sender;
+    open_job job;
+    std::vector<task_event> events;
+};
+
+} // namespace
+
+// Two batches come to a worker after their lease lapsed there. The first refusal ends the lease;
+// the second one counts all the same, or its task waits for an answer for ever.
+BOOST_AUTO_TEST_CASE(every_refusal_under_a_lapsed_lease_gives_its_task_back)
+{
+    one_worker w;
+    BOOST_REQUIRE(w.grant(0, 1));
+    w.job.tasks.reserve(2);
+    const auto first = w.send(1);
+    const auto second = w.send(2);
+    w.answer(3, first, start_reply{7, 0, 0, {start_verdict::lease_lapsed}});
+    w.answer(3, second, start_reply{7, 0, 0, {start_verdict::lease_lapsed}});
+    BOOST_TEST(w.sender.outstanding() == 0U);
+    BOOST_TEST((w.job.tasks[0].state == run_state::not_started));
+    BOOST_TEST((w.job.tasks[1].state == run_state::not_started));
+    BOOST_TEST(w.sender.queued() == 2U);
+}
+
+// A refusal under an earlier lease says nothing about the lease that was granted since.
+BOOST_AUTO_TEST_CASE(a_late_refusal_under_an_earlier_lease_leaves_the_present_one)
+{
+    one_worker w;
+    BOOST_REQUIRE(w.grant(0, 1));
+    w.job.tasks.reserve(2);
+    const auto first = w.send(1);
+    const auto second = w.send(2);
+    w.answer(3, first, start_reply{7, 0, 0, {start_verdict::lease_lapsed}});
+    BOOST_REQUIRE(w.grant(300, 2));
+    w.answer(301, second, start_reply{7, 0, 0, {start_verdict::lease_lapsed}});
+    BOOST_TEST(w.sender.workers().at(0)->lease == 2U);
+    BOOST_TEST(w.sender.outstanding() == 0U);
+}
--- a/tests/harness_test.cpp
+++ b/tests/harness_test.cpp
@@ -1,7 +1,9 @@
 #define BOOST_TEST_MODULE harness
+#include "core/wire.hpp"
 #include "harness/scenario.hpp"
 #include "harness/schedule.hpp"
 #include "harness/seeds.hpp"
+#include "harness/world.hpp"
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
@@ -9,6 +11,7 @@
 #include <set>
 #include <thread>
 
+using namespace egretledge;
 using namespace egretledge::harness;
 
 BOOST_AUTO_TEST_CASE(every_scenario_holds)
@@ -163,3 +166,139 @@
     BOOST_TEST(first.starts == second.starts);
     BOOST_TEST(first.counters.starts_sent == second.counters.starts_sent);
 }
+
+namespace
+{
+
+// Data centres dc1, with hosts dc1-h1 and so on, and dc2, with one host; one shard each.
+world_settings small_world(std::uint32_t hosts)
+{
+    world_settings settings;
+    settings.shards = 1;
+    settings.host_list_lag = egretledge::milliseconds{5000};
+    settings.constant_delay = true;
+    centre_plan first{"dc1", {}, 2};
+    for (std::uint32_t h = 1; h <= hosts; ++h)
+        first.hosts.push_back("dc1-h" + std::to_string(h));
+    settings.centres = {first, {"dc2", {"dc2-h1"}, 1}};
+    return settings;
+}
+
+} // namespace
+
+// A host's last list of hosts is old: the platform is away. New revisions of the configuration come
+// from another data centre, and each brings the old list before the host again.
+BOOST_AUTO_TEST_CASE(an_old_host_list_proves_nothing_new_with_each_revision)
+{
+    using egretledge::milliseconds;
+    world w(small_world(2));
+    w.run_for(milliseconds{4000});
+    const auto owners = w.serving("dc1", 0);
+    BOOST_REQUIRE_EQUAL(owners.size(), 1U);
+    const std::string back = owners[0] == "dc1-h1" ? "dc1-h2" : "dc1-h1";
+    w.kill(back);
+    w.run_for(milliseconds{5000});
+    w.start(back); // on the list 3 s later
+    w.run_for(milliseconds{2000});
+    w.cut("dc1", "log");
+    w.run_for(milliseconds{1500});
+    w.cut("dc1-h1", "dc1-h2");
+    for (std::uint64_t i = 0; i < 12; ++i)
+    {
+        w.publish("{kind: policy, name: p" + std::to_string(i) + ", retry_limit: 1}", 1 + i,
+                  "late" + std::to_string(i));
+        w.run_for(milliseconds{1000});
+        BOOST_REQUIRE_LE(w.serving("dc1", 0).size(), 1U);
+    }
+    BOOST_TEST(w.host(back)->revision() >= 8U);
+}
+
+// A job that a takeover found half done is being ended by a cancellation, without its body. Its
+// body came with a later call, which has to take it along when the shard moves on.
+BOOST_AUTO_TEST_CASE(a_call_keeps_its_body_when_its_job_was_opened_by_a_cancellation)
+{
+    using egretledge::milliseconds;
+    auto settings = small_world(3);
+    settings.centres[0].workers = 1;
+    world w(settings);
+    w.run_for(milliseconds{4000});
+    const auto first = w.serving("dc1", 0).at(0);
+    wire::Job job;
+    job.set_service("once");
+    job.set_deadline_ms(20000);
+    job.add_tasks()->set_payload("p");
+    job.mutable_tasks(0)->set_size_ms(15000);
+    const auto key = w.make_key("dc1", "n");
+    w.submit(first, key, job);
+    w.run_for(milliseconds{500});
+    w.kill(first);
+    while (w.serving("dc1", 0).empty())
+        w.run_for(milliseconds{10});
+    const auto second = w.serving("dc1", 0).at(0);
+    w.run_for(milliseconds{200});
+    // No worker records that the job ends.
+    w.cut(second, "dc1-pool-1");
+    w.ask(second, key, wire::CANCEL);
+    w.run_for(milliseconds{100});
+    const auto call = w.submit(second, key, job);
+    w.run_for(milliseconds{100});
+    w.stop(second);
+    w.run_for(milliseconds{6000});
+    const auto* answer = w.calls().find(call);
+    BOOST_REQUIRE(answer->answered);
+    BOOST_TEST(name_of(kind_of(answer->answer)) == "cancelled");
+    BOOST_TEST(w.verdict() == "");
+}
+
+// A worker that the configuration has just added was told to start tasks by an owner whose grantor
+// had not read of it yet. The grantor takes over without asking that worker.
+BOOST_AUTO_TEST_CASE(a_takeover_asks_the_workers_of_the_latest_configuration)
+{
+    using egretledge::milliseconds;
+    auto settings = small_world(2);
+    settings.centres[0].workers = 2;
+    world w(settings);
+    const auto pool = [](int count)
+    {
+        return "{kind: executor_pool, name: dc1-pool, data_centre: dc1, address: 127.0.0.1, "
+               "first_port: 20000, memory: 32GiB, slots: 4, count: " +
+               std::to_string(count) + "}";
+    };
+    w.publish(pool(1), 1, "fewer");
+    w.run_for(milliseconds{4000});
+    // Hosts that began since know nothing of the worker that left.
+    for (const auto& name : {"dc1-h1", "dc1-h2"})
+    {
+        w.kill(name);
+        w.start(name);
+        w.run_for(milliseconds{8000});
+    }
+    const auto owners = w.serving("dc1", 0);
+    BOOST_REQUIRE_EQUAL(owners.size(), 1U);
+    const auto owner = owners[0];
+    const std::string other = owner == "dc1-h1" ? "dc1-h2" : "dc1-h1";
+    BOOST_TEST(w.host(owner)->revision() == 2U);
+    // The owner reads the next revision; its grantor is cut from it, and from other data centres.
+    w.cut("dc1-h1", "dc1-h2");
+    w.cut(other, "dc2");
+    w.publish(pool(2), 2, "more");
+    w.run_for(milliseconds{300});
+    BOOST_REQUIRE(w.host(owner)->revision() == 3U);
+    BOOST_REQUIRE(w.host(other)->revision() == 2U);
+    wire::Job job;
+    job.set_service("once");
+    for (int i = 0; i < 8; ++i)
+    {
+        job.add_tasks()->set_payload("p" + std::to_string(i));
+        job.mutable_tasks(i)->set_size_ms(3000);
+    }
+    const auto key = w.make_key("dc1", "n");
+    w.submit(owner, key, job);
+    w.run_for(milliseconds{300});
+    w.kill(owner);
+    while (w.serving("dc1", 0).empty())
+        w.run_for(milliseconds{100});
+    w.submit(other, key, job);
+    w.run_for(milliseconds{8000});
+    BOOST_TEST(w.verdict() == "");
+}
