--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -77,7 +77,7 @@
     m_router = std::make_unique<router>(m_settings.routing, *m_owners, *m_jobs, m_counters);
 }
 
-void node::install_config(instant now, action_list& out)
+void node::install_config(action_list& out)
 {
     if (!m_owners)
         create_parts();
@@ -202,7 +202,7 @@
         return; // late words of a process that is over
     known = from.incarnation;
     if (message.has_config_state() || message.has_config_records() || message.has_config_request())
-        return on_config_message(now, from, message, out);
+        return on_config_message(from, message, out);
     if (!m_owners)
         return;
     if (message.has_heartbeat())
@@ -235,7 +235,7 @@
     apply_events(now, events, out);
 }
 
-void node::on_config_message(instant now, const host_ref& from, const wire::PeerMessage& message,
+void node::on_config_message(const host_ref& from, const wire::PeerMessage& message,
                              action_list& out)
 {
     bool changed = false;
@@ -253,7 +253,7 @@
         changed = m_config.on_page(page);
     }
     if (changed)
-        install_config(now, out);
+        install_config(out);
     stamp(out);
 }
 
@@ -377,7 +377,7 @@
     }
     if (!changed)
         return;
-    install_config(now, out);
+    install_config(out);
     hand_on_config(now, from, out);
 }
 
--- a/src/core/node.hpp
+++ b/src/core/node.hpp
@@ -149,7 +149,7 @@
         bool acknowledged = false;
     };
 
-    void install_config(instant now, action_list& out);
+    void install_config(action_list& out);
     void create_parts();
     void read_streams(instant now, action_list& out);
     void read_stream(stream_reader& reader, std::uint64_t from, instant now, action_list& out);
@@ -168,7 +168,7 @@
     void on_handover_state(const host_ref& from, const wire::HandoverState& state,
                            action_list& out);
     void on_handover_ack(instant now, const host_ref& from, const wire::HandoverAck& ack);
-    void on_config_message(instant now, const host_ref& from, const wire::PeerMessage& message,
+    void on_config_message(const host_ref& from, const wire::PeerMessage& message,
                            action_list& out);
     void on_heartbeat(instant now, const host_ref& from, const wire::Heartbeat& beat,
                       action_list& out);
