--- a/tests/pool_world_test.cpp
+++ b/tests/pool_world_test.cpp
@@ -176,22 +176,9 @@
 {
     pool_world world({});
     world.run_until(at_ms(2500));
-    const auto cut = [&](bool on)
-    {
-        for (std::uint32_t inside = 0; inside < 2; ++inside)
-        {
-            for (std::uint32_t outside = 2; outside < 6; ++outside)
-                world.cut_hosts(inside, outside, on);
-            for (std::uint32_t worker = 6; worker < 18; ++worker)
-                world.cut_worker(inside, worker, on);
-        }
-        for (std::uint32_t outside = 2; outside < 6; ++outside)
-            for (std::uint32_t worker = 0; worker < 6; ++worker)
-                world.cut_worker(outside, worker, on);
-    };
     load(world, 2600, 12000, 25, 3, 200ms, 6);
-    world.at(at_ms(4000), [&] { cut(true); });
-    world.at(at_ms(9000), [&] { cut(false); });
+    world.at(at_ms(4000), [&] { world.cut_centre(0, true, false); });
+    world.at(at_ms(9000), [&] { world.cut_centre(0, false, false); });
     world.run_until(at_ms(15000));
     for (std::uint32_t host = 0; host < world.host_count(); ++host)
         BOOST_TEST(world.host(host)->workers().counts().lost_workers == 0U);
@@ -607,26 +594,6 @@
     BOOST_TEST((world.last_call("again399")->answer.kind == answer_kind::over_capacity));
 }
 
-namespace
-{
-
-// Cuts off the hosts and workers of the first data centre of three.
-void cut_first_centre(pool_world& world)
-{
-    for (std::uint32_t inside = 0; inside < 2; ++inside)
-    {
-        for (std::uint32_t outside = 2; outside < 6; ++outside)
-            world.cut_hosts(inside, outside, true);
-        for (std::uint32_t worker = 6; worker < 18; ++worker)
-            world.cut_worker(inside, worker, true);
-    }
-    for (std::uint32_t outside = 2; outside < 6; ++outside)
-        for (std::uint32_t worker = 0; worker < 6; ++worker)
-            world.cut_worker(outside, worker, true);
-}
-
-} // namespace
-
 // The pool's host is cut off with its data centre before a heartbeat told of the start; the
 // caller's host is not, and knows that it offered the job.
 BOOST_AUTO_TEST_CASE(a_job_that_was_offered_to_a_pool_now_cut_off_is_not_called_not_run)
@@ -638,7 +605,7 @@
     world.submit(2, "order", 4, a_task, 900ms);
     world.run_until(at_ms(2515));
     BOOST_REQUIRE(world.starts() > 0U);
-    cut_first_centre(world);
+    world.cut_centre(0, true, false);
     world.run_until(at_ms(2700));
     world.caller_leaves("order");
     world.run_until(at_ms(4000));
@@ -655,7 +622,7 @@
 {
     pool_world world({});
     world.run_until(at_ms(2500));
-    cut_first_centre(world);
+    world.cut_centre(0, true, false);
     load(world, 2500, 8000, 4, 4, 900ms, 6);
     world.run_until(at_ms(8000));
     std::size_t refused = 0;
