Answer "not run" only where no earlier start can be unknown

No task ran twice at once.

Change: a process says "unknown" for its first 10 s, unless it is the first start of the deployment (setting first_start, from the platform's bootstrap); the workers of a silent host count until they are read or leave the store's list, also behind a cut; after a pause a host says "unknown" until it has heard every live host; an "unknown" that rests on a known start announces the job again, so that it stays known while its caller retries. The probes that told reachable from unreachable workers are gone.

Ruled out: asking a peer for its list at start (nothing to get when all hosts end at once); a start waiting for another host (a round trip each).

--- a/harness/pool_simulation.cpp
+++ b/harness/pool_simulation.cpp
@@ -141,6 +141,7 @@
                                 static_cast<std::uint64_t>(current_instant().wall.count())};
     settings.membership.data_centre = state.data_centre;
     settings.membership.address = state.name;
+    settings.first_start = state.incarnation == 0;
     state.logic = std::make_unique<pool_host>(settings);
     print("start " + state.name);
     const auto incarnation = ++state.incarnation;
--- a/src/io/edge_settings.cpp
+++ b/src/io/edge_settings.cpp
@@ -50,6 +50,13 @@
         value = parsed_value;
     }
 
+    void flag(const char* name, bool& value)
+    {
+        const auto node = m_root[name];
+        if (node && !node.IsNull() && !YAML::convert<bool>::decode(node, value))
+            fault(name, "is not true or false");
+    }
+
     void fault(const std::string& name, const std::string& problem)
     {
         m_faults += "'" + name + "' " + problem + "\n";
@@ -103,6 +110,7 @@
     read.address("metrics", settings.metrics, false);
     read.address("peers", settings.peers, true);
     read.address("store", settings.store, true);
+    read.flag("first_start", settings.first_start);
     read.text("log_level", settings.log_level, false);
     read.number<std::uint32_t>("log_lines_per_s", settings.log_lines_per_s, 1, 100000);
     auto bound_ms = static_cast<std::uint32_t>(settings.config_bound.count());
--- a/src/io/edge_settings.hpp
+++ b/src/io/edge_settings.hpp
@@ -26,6 +26,9 @@
     milliseconds config_bound{2000};
     // Time limit of a planned stop. The platform terminates a process that takes longer.
     milliseconds stop_timeout{6000};
+    // No host of the deployment ran before this process. Until a process that may have had
+    // predecessors has run for some seconds, it refuses no job as "not run".
+    bool first_start = false;
     std::string log_level = "info"; // debug, info, warning or error
     // Maximum log lines per second; lines above it are dropped and counted.
     std::uint32_t log_lines_per_s = 200;
--- a/src/pool/call_router.cpp
+++ b/src/pool/call_router.cpp
@@ -438,8 +438,12 @@
         return {answer_kind::worker_lost, {}, "placed anew in vain: " + answer.detail};
     if (m_started.may_have_started(job))
         return {answer_kind::worker_lost, {}, "it started elsewhere: " + answer.detail};
+    if (!m_started.reaches_back(now))
+        return {answer_kind::worker_lost, {}, "this host has just started: " + answer.detail};
     if (!m_peers.hears_enough_hosts(now))
         return {answer_kind::worker_lost, {}, "cut off from the other hosts: " + answer.detail};
+    if (!m_peers.has_caught_up(now))
+        return {answer_kind::worker_lost, {}, "this host was paused: " + answer.detail};
     if (m_started.updates_awaited())
         return {answer_kind::worker_lost, {}, "a silent host's workers not read: " + answer.detail};
     return answer;
@@ -478,8 +482,14 @@
                  ? " retry_after_ms=" + std::to_string(answer.retry_after.count())
                  : "") +
             (answer.detail.empty() ? "" : " detail=\"" + answer.detail + "\"")});
-    if (row_of(answer.kind).result != outcome::not_run)
+    const auto result = row_of(answer.kind).result;
+    if (result != outcome::not_run)
         remember(now, call.job.id, answer.kind == answer_kind::ok);
+    // The caller of a job that may have started is told to retry: every host has to know of the
+    // start for as long as retries follow.
+    if (result == outcome::unknown &&
+        (call.may_have_run || m_started.may_have_started(call.job.id)))
+        m_started.record(now, call.job.id);
     out.push_back(actions::answer_call{number, std::move(answer)});
     m_by_job.erase(call.job.id);
     m_calls.erase(found);
--- a/src/pool/membership.cpp
+++ b/src/pool/membership.cpp
@@ -270,18 +270,12 @@
 std::vector<membership::silent_host> membership::find_silent_hosts(microseconds now) const
 {
     std::vector<silent_host> hosts;
-    const auto add =
-        [&](const host_ref& ref, const std::set<std::string>& held, microseconds last_heard)
-    {
-        if (!held.empty() && last_heard.count() >= 0 &&
-            now - last_heard <= m_settings.recent_peer_period)
-            hosts.push_back({ref, &held});
-    };
     for (const auto& [name, host] : m_peers)
-        if (!host.leaving && !alive(name, now))
-            add(host.ref, host.held, host.last_heard);
+        if (!host.held.empty() && !host.leaving && !alive(name, now))
+            hosts.push_back({host.ref, &host.held});
     for (const auto& [ref, past_state] : m_past_incarnations)
-        add(ref, past_state.held, past_state.last_heard);
+        if (!past_state.held.empty())
+            hosts.push_back({ref, &past_state.held});
     return hosts;
 }
 
@@ -313,6 +307,17 @@
     return hosts.live * 2 >= hosts.known;
 }
 
+bool membership::has_caught_up(microseconds now) const
+{
+    return std::all_of(m_peers.begin(), m_peers.end(),
+                       [&](const auto& item)
+                       {
+                           const auto& host = item.second;
+                           return host.last_heard.count() < 0 ||
+                                  host.last_heard >= m_listening_since || !alive(item.first, now);
+                       });
+}
+
 bool membership::receives_heartbeats(const host_ref& ref, microseconds now) const
 {
     const auto* host = find(ref.name);
--- a/src/pool/membership.hpp
+++ b/src/pool/membership.hpp
@@ -150,8 +150,8 @@
         host_ref ref;
         const std::set<std::string>* held = nullptr;
     };
-    // Returns the hosts that held workers, sent their last heartbeat within `recent_peer_period`,
-    // and fell silent without a planned stop or restarted.
+    // Returns the hosts that held workers and fell silent without a planned stop or restarted,
+    // until they are removed after `forget_timeout`.
     std::vector<silent_host> find_silent_hosts(microseconds now) const;
     // Makes the next heartbeats due at once, for example because the set of held workers changed.
     void expedite_heartbeats() { m_next_round = microseconds{0}; }
@@ -161,6 +161,9 @@
     // Returns false if fewer than half of the hosts that sent a heartbeat or were introduced within
     // `recent_peer_period` are alive: this host then does not know what has started at the others.
     bool hears_enough_hosts(microseconds now) const;
+    // Returns true if after a pause of this process, or after its start, every host that counts as
+    // alive has sent a heartbeat: until then their announcements from the pause are missing.
+    bool has_caught_up(microseconds now) const;
     // Returns true while the host is known to receive this host's heartbeats; false once it may
     // count this host as disconnected (see `caller_host_timeout`).
     bool receives_heartbeats(const host_ref& host, microseconds now) const;
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -8,7 +8,6 @@
 #include <algorithm>
 #include <functional>
 #include <iterator>
-#include <xxhash.h>
 
 namespace egretledge::pool
 {
@@ -25,9 +24,7 @@
               own_settings.data_centre = m_settings.membership.data_centre;
               return own_settings;
           }(),
-          m_membership, m_pool, m_started),
-      m_probe_seed(XXH3_64bits(m_settings.membership.self.name.data(),
-                               m_settings.membership.self.name.size()))
+          m_membership, m_pool, m_started)
 {
     m_pool.set_visibility(
         [this](const caller_ref& caller)
@@ -99,12 +96,16 @@
 
 void pool_host::run_overdue_timers(instant now, action_list& out)
 {
-    if (now.steady - m_last_tick > m_settings.max_tick_delay)
+    if (m_last_tick.count() < 0 || now.steady - m_last_tick > m_settings.max_tick_delay)
         tick(now, out);
 }
 
 void pool_host::tick(instant now, action_list& out)
 {
+    if (m_last_tick.count() < 0)
+        m_started.set_complete_since(now.steady - (m_settings.first_start
+                                                       ? m_settings.started.retention_period
+                                                       : milliseconds{0}));
     m_last_tick = now.steady;
     m_membership.tick(
         now.steady,
@@ -244,26 +245,11 @@
 {
     const auto silent = m_membership.find_silent_hosts(now.steady);
     std::set<std::string> read;
-    std::set<std::string> data_centres;
     if (!silent.empty())
-    {
-        if (!m_leaving)
-            data_centres.insert(m_settings.membership.data_centre);
         for (const auto& [name, host] : m_membership.all())
-        {
-            if (!m_membership.alive(name, now.steady))
-                continue;
-            std::set_difference(host.held.begin(), host.held.end(), host.unread.begin(),
-                                host.unread.end(), std::inserter(read, read.end()));
-            if (!host.leaving)
-                data_centres.insert(host.data_centre);
-        }
-    }
-    const auto entry_of = [&](const std::string& id)
-    {
-        const auto known = m_registry.find(id);
-        return known == m_registry.end() ? nullptr : &known->second;
-    };
+            if (m_membership.alive(name, now.steady))
+                std::set_difference(host.held.begin(), host.held.end(), host.unread.begin(),
+                                    host.unread.end(), std::inserter(read, read.end()));
     m_unread.update(silent, {[&](const std::string& id)
                              {
                                  const auto* own = m_pool.find(id);
@@ -271,20 +257,9 @@
                              },
                              [&](const std::string& id)
                              {
-                                 const auto* entry = entry_of(id);
-                                 return entry != nullptr && !entry->leaving;
-                             },
-                             [&](const std::string& id)
-                             {
-                                 const auto* entry = entry_of(id);
-                                 return entry != nullptr &&
-                                        data_centres.contains(entry->data_centre);
-                             },
-                             [&](const std::string& id)
-                             { return m_pool.reachable_for(id, now.steady, milliseconds{0}); }});
-    const auto probe_round = static_cast<std::uint64_t>(now.steady / m_settings.probe_period);
-    for (const auto& id : m_unread.to_probe(m_probe_seed + probe_round))
-        m_pool.probe(now.steady, m_registry.at(id), out);
+                                 const auto entry = m_registry.find(id);
+                                 return entry != m_registry.end() && !entry->second.leaving;
+                             }});
     if (m_unread.awaited() != m_started.updates_awaited())
         out.push_back(actions::log_event{
             m_unread.awaited(), std::string("event=lists_awaited silent_hosts=") +
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -34,9 +34,6 @@
     // while no host announced it: when a partition ends, its holder's heartbeats arrive within that
     // time.
     milliseconds remote_acquire_delay{1200};
-    // Time for which one worker of a silent host is probed before the next one, if no live host is
-    // in the worker's data centre.
-    milliseconds probe_period{300};
     // A partitioned host acquires the workers of a silent holder one by one, `trial_interval`
     // apart, once the holder has been silent for `trial_delay`. If such a worker still has runs,
     // although their leases have expired by then, its holder is alive: the worker is released, and
@@ -61,6 +58,8 @@
     milliseconds balancer_lag{2500};
     // Reserved at the end of `stop_timeout` for sending the last answers.
     milliseconds answer_flush_period{300};
+    // No host of the deployment ran before this process, so no earlier job can have started.
+    bool first_start = false;
 };
 
 // Progress of a planned stop.
@@ -129,8 +128,7 @@
     void evaluate_trials(instant now);
     bool may_acquire(const worker_entry& entry, instant now, action_list& out);
     void record_starts(instant now);
-    // Evaluates whether "not run" answers have to wait for the lists of a silent host's workers,
-    // and probes workers for it.
+    // Evaluates whether "not run" answers have to wait for the lists of a silent host's workers.
     void update_awaited_lists(instant now, action_list& out);
     void forward_results(instant now, action_list& out);
     // Cancels the jobs of hosts that may count this one as disconnected.
@@ -156,9 +154,8 @@
     started_jobs m_started;
     call_router m_call_router;
     unread_workers m_unread;
-    std::uint64_t m_probe_seed; // differs between hosts, so that they probe different workers
     microseconds m_next_assignment{0};
-    microseconds m_last_tick{0};
+    microseconds m_last_tick{-1};          // -1: none yet
     std::uint64_t m_announced_version = 0; // held_version() at the last acquire_and_release()
     bool m_leaving = false;
     microseconds m_leaving_since{0};
--- a/src/pool/started_jobs.hpp
+++ b/src/pool/started_jobs.hpp
@@ -12,9 +12,10 @@
 // - by the caller's host, for a job that it offered to another host's pool,
 // - by a host that acquires the workers of a failed host, for the runs that it finds on them.
 //
-// The update takes one heartbeat, while a caller retries a second later. When a host fails, its
-// last heartbeat may be missing; set_updates_awaited(true) then applies until the lists of its
-// workers have been read.
+// The update takes one heartbeat, while a caller retries a second later. When a host falls silent,
+// its last heartbeat may be missing; set_updates_awaited(true) then applies until the lists of its
+// workers have been read. A process that has just started lacks the jobs of the hosts that ended
+// before; it reaches_back() far enough only after the retention period.
 //
 // Jobs are kept as 64-bit hashes, 8 bytes each on the wire. If two jobs share a hash, one of them
 // may be answered with "unknown" instead of "not run", which is still correct. Trade-off: every
@@ -61,6 +62,15 @@
         m_announced.insert(hashes.begin(), hashes.end());
     }
     bool may_have_started(const std::string& job) const;
+    // Sets the time since which this host receives announcements. Jobs that started before it may
+    // be missing.
+    void set_complete_since(microseconds time) { m_complete_since = time; }
+    // Returns true if no job that started within the retention period can be missing because it
+    // started before this host received announcements.
+    bool reaches_back(microseconds now) const
+    {
+        return now - m_complete_since >= m_settings.retention_period;
+    }
     // Sets whether jobs may have started whose announcement could not arrive yet.
     void set_updates_awaited(bool awaited) { m_updates_awaited = awaited; }
     bool updates_awaited() const { return m_updates_awaited; }
@@ -110,6 +120,7 @@
     boost::unordered_flat_map<std::uint64_t, own_record> m_own_records; // by hash
     std::deque<own_record_entry> m_own_entries;                         // in order of time
     bool m_updates_awaited = false;
+    microseconds m_complete_since{0};
 };
 
 } // namespace egretledge::pool
--- a/src/pool/unread_workers.hpp
+++ b/src/pool/unread_workers.hpp
@@ -7,10 +7,10 @@
 // acquired its workers and read their lists of running and ended runs. Until then no host can
 // answer "not run" for a job that may have been submitted at the silent host.
 //
-// A worker counts only while some host can read it: it is in the registry, is not leaving, and
-// either a live host is in its data centre or this host's own probes of the silent host's workers
-// are answered. If a data centre is partitioned with all its hosts and workers, its lists cannot be
-// read before the partition ends; callers elsewhere are served and refused as usual meanwhile.
+// A worker counts while it is in the registry and is not leaving, whether or not any host can reach
+// it: a silent host that is partitioned together with its workers goes on serving the callers that
+// reach it, and they may retry on this side of the partition. Trade-off: callers outside the
+// partition that could give up are told to retry for as long as it lasts.
 
 #include "pool/membership.hpp"
 
@@ -27,33 +27,18 @@
         std::function<bool(const std::string& worker)> read;
         // The worker is in the registry and is not leaving.
         std::function<bool(const std::string& worker)> listed;
-        // A live host is in the worker's data centre and can acquire it; this host counts too.
-        std::function<bool(const std::string& worker)> can_be_acquired;
-        // The worker answered a recent probe of this host.
-        std::function<bool(const std::string& worker)> answers;
     };
 
     // Updates the state from the hosts that are silent now. Hosts that are missing from `silent`
-    // are dropped: they send heartbeats again, or their last heartbeat is too long ago. A worker
-    // that has been read stays read until its host is dropped.
+    // are dropped: they send heartbeats again, or are no longer known. A worker that has been read
+    // stays read until its host is dropped.
     void update(const std::vector<membership::silent_host>& silent,
                 const worker_predicates& predicates);
-    // Returns the workers to probe now: one per silent host, of the workers that no host in their
-    // data centre can acquire. `probe_round` should differ between calls and between hosts, so that
-    // a worker that is down takes up only some of the probes.
-    std::vector<std::string> to_probe(std::uint64_t probe_round) const;
-    // Returns true while lists that some host can read have not been read.
+    // Returns true while the lists of a registered worker have not been read.
     bool awaited() const { return m_awaited; }
 
 private:
-    // State of one silent host.
-    struct silence
-    {
-        std::set<std::string> unread;
-        // Those of `unread` that only probes of this host can reach.
-        std::vector<std::string> remote;
-    };
-    std::map<host_ref, silence> m_silences;
+    std::map<host_ref, std::set<std::string>> m_unread; // by silent host
     bool m_awaited = false;
 };
 
