Read numbers and lists of other processes only within their range

What could happen: a registry entry without processors, which any writer may leave in the store, ended each process that held it before any task had been placed: admission divided by its capacity (SIGFPE in the new test). A limit or a priority that did not fit 32 bits became 0, that is no limit and the first priority. A row of a worker's list that could not be read was left out, so its run counted as not running and could be started again.

Tests, all failed on the code before: numbers_out_of_range_are_bounded_or_ rejected, a_list_of_runs_with_an_unreadable_row_proves_nothing, a_worker_of_ absurd_capacity_does_not_end_the_process, and two new entries in registry_ entries_of_other_writers_are_rejected_as_workers. The capacity of 10^12 was not run on the old code: it would have used up the memory.

Ruled out: skipping only the bad row, which proves the absence of a run.

--- a/src/pool/admission.cpp
+++ b/src/pool/admission.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds unknown_run_time{50};
 // The expected wait while no worker is usable: a takeover of workers takes about that long.
 constexpr milliseconds wait_without_workers{1000};
+// Bounds the work of a forecast if tasks are declared tiny or a worker's capacity is wrong.
+constexpr std::int64_t max_free_slots_per_worker = 256;
 
 // Returns when each pending job is expected to end, in the given order, if only the jobs for which
 // `counts` returns true occupy slots.
@@ -83,9 +85,11 @@
             schedule.add_slots(now + left, slots_of(view.demand));
         }
         // Before the first placement the size of tasks is not known: a worker counts as one slot.
-        const auto usual =
-            m_usual_demand.cpu > 0 ? m_usual_demand.cpu : record.worker.entry().capacity.cpu;
-        schedule.add_slots(now, static_cast<std::uint32_t>(record.worker.free().cpu / usual));
+        const auto usual = std::max<std::int64_t>(
+            1, m_usual_demand.cpu > 0 ? m_usual_demand.cpu : record.worker.entry().capacity.cpu);
+        const auto free_slots = record.worker.free().cpu / usual;
+        schedule.add_slots(now, static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+                                    free_slots, 0, max_free_slots_per_worker)));
     }
     return schedule;
 }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -241,11 +241,49 @@
         R"({"service":"s","addr":"a:1","zone":"z","state":"new","capacity":{}})",
         R"({"service":"s","addr":"a:1","zone":"z","state":"ready","capacity":7})",
         R"({"service":4,"addr":"a:1","zone":"z","state":"ready","capacity":{}})",
-        R"({"service":"s","addr":"a:1","zone":"z","state":"ready","capacity":{"cpu":"x"}})"};
+        R"({"service":"s","addr":"a:1","zone":"z","state":"ready","capacity":{"cpu":"x"}})",
+        R"({"service":"s","addr":"a:1","zone":"z","state":"ready","capacity":{"mem_mb":64}})",
+        R"({"service":"s","addr":"a:1","zone":"z","state":"ready","capacity":{"cpu":1e300}})"};
     for (const auto* text : bad)
         BOOST_TEST(!decode_worker("i-1", text).has_value(), text);
 }
 
+// Guards against numbers that wrap around: a limit or a priority became 0 when it did not fit.
+BOOST_AUTO_TEST_CASE(numbers_out_of_range_are_bounded_or_rejected)
+{
+    const auto step = [](const std::string& fields)
+    { return decode_job(R"({"best_effort":true,"steps":[{"count":1,)" + fields + "}]}"); };
+    BOOST_REQUIRE(step(R"("max_per_server":4294967296)"));
+    BOOST_TEST(step(R"("max_per_server":4294967296)")->steps[0].max_per_worker == 4294967295U);
+    for (const char* fields :
+         {R"("cpu":1e300)", R"("cpu":9223372036854775807)", R"("mem_mb":-1)",
+          R"("est_ms":9223372036854775807)", R"("est_ms":1e18)", R"("after":[4294967296])"})
+        BOOST_TEST(!step(fields).has_value(), fields);
+    const auto config = decode_config(
+        R"({"version":1,"routes":[{"name":"r","priority":4294967296,"max_attempts":4294967297}]})");
+    BOOST_REQUIRE(config);
+    BOOST_TEST(config->routes.at(0).terms.priority == 4294967295U);
+    BOOST_TEST(config->routes.at(0).terms.max_attempts == 4294967295U);
+}
+
+// Guards against a second start of a running task: a run that was listed in a row that could not be
+// read counted as not running.
+BOOST_AUTO_TEST_CASE(a_list_of_runs_with_an_unreadable_row_proves_nothing)
+{
+    const std::string rows[] = {R"({"running":[["a.0.1.2",1,"",4],["b.0.1.2",1]]})",
+                                R"({"running":[["a.0.1.2","x","",4]]})",
+                                R"({"running":[7]})",
+                                R"({"running":7})",
+                                R"({"ended":[[5,"a.0.1.2",1]]})",
+                                R"({"ended":[[-5,"a.0.1.2",1,"done",""]]})",
+                                R"({"ended":{}})"};
+    for (const auto& text : rows)
+        BOOST_TEST((decode_reply(reply(200, text)).result == pool::order_result::no_answer), text);
+    const auto unread_percent = decode_reply(reply(200, R"({"running":[["a.0.1.2",1,"",null]]})"));
+    BOOST_TEST((unread_percent.result == pool::order_result::accepted));
+    BOOST_TEST(unread_percent.running.at(0).percent == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(task_names_round_trip)
 {
     const pool::task_name task{"5c0e7a21d94b36f8", 0, 1, 17};
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -162,6 +162,24 @@
     BOOST_TEST(notes.not_started.empty());
 }
 
+// Guards against a process that ends by a division by zero: a registry entry without processors was
+// held before any task had been placed. One with an absurd capacity must not use up the memory.
+BOOST_AUTO_TEST_CASE(a_worker_of_absurd_capacity_does_not_end_the_process)
+{
+    for (const std::int64_t cpu : {std::int64_t{0}, std::int64_t{1'000'000'000'000}})
+    {
+        worker_pool pool({}, 9);
+        action_list out;
+        auto entry = make_worker_entry("w1");
+        entry.capacity.cpu = cpu;
+        pool.acquire({at_ms(1), milliseconds{1000}}, entry, out);
+        const auto* hold = std::get_if<actions::hold_worker>(&out.at(0));
+        BOOST_REQUIRE(hold != nullptr);
+        pool.on_worker_reply(at_ms(3), hold->request, worker_fixture::accepted(5000), out);
+        BOOST_TEST(pool.expected_wait(at_ms(4)).count() == (cpu == 0 ? 1000 : 0));
+    }
+}
+
 // A caller disconnects and submits the same id with fewer steps while the former runs are being
 // stopped. The runs of the missing step must still be counted.
 BOOST_AUTO_TEST_CASE(former_runs_of_a_job_resubmitted_with_fewer_steps_use_resources_until_they_end)
