Refuse a job that three pools have no room for

Cause: a pool that declines passes the job on to the next, to every pool once.

Change: after three declines for want of capacity (max_capacity_declines) the call is refused. Declines of pools without fitting workers do not count. Deployments of three pools are as before.

Test, failed on the code before (6 offers): a_job_that_three_pools_have_no_ room_for_is_refused_without_asking_the_others. Its counterpart, a_job_is_ offered_on_to_the_only_pool_that_has_a_fitting_worker, passed before too.

--- a/src/pool/call_router.cpp
+++ b/src/pool/call_router.cpp
@@ -2,8 +2,9 @@
 // clearly sooner. The cost of a pool is the wait that it announced plus the expected time until the
 // capacity that the job lacks becomes free; the demand of jobs offered since the announcement
 // counts as used. A pool that declines a job has started none of it, so the job is offered to the
-// next pool, to each at most once. The trade-off against offering it to several pools at once: one
-// more round trip after a decline, but no duplicate work.
+// next pool, to each at most once, until `max_capacity_declines` pools had no room for it. The
+// trade-off against offering it to several pools at once: one more round trip after a decline, but
+// no duplicate work.
 //
 // A pool whose host has become silent may still run a job's tasks. The job is then an orphan: it is
 // placed again by the host that has acquired all workers of that pool and found nothing running on
@@ -154,6 +155,8 @@
 std::optional<std::string> call_router::choose_pool(microseconds now, const open_call& call) const
 {
     std::optional<std::string> best;
+    if (call.capacity_declines >= m_settings.max_capacity_declines)
+        return best;
     double best_cost = 0;
     const auto consider = [&](const std::string& name, double cost)
     {
@@ -414,6 +417,7 @@
     }
     if (declined)
     {
+        call.capacity_declines += answer.kind == answer_kind::over_capacity ? 1 : 0;
         if (const auto next = choose_pool(now, call))
         {
             call.pool = *next;
--- a/src/pool/call_router.hpp
+++ b/src/pool/call_router.hpp
@@ -32,6 +32,10 @@
     // Outcomes are kept for this long, for a resubmission that was sent before the answer arrived.
     milliseconds answer_retention{10000};
     std::size_t max_retained_answers = 4000;
+    // A job that this many pools have declined for want of capacity is refused. The pools with the
+    // shortest announced waits are asked first, so that further ones rarely have room, and each
+    // offer costs messages and an admission decision when the hosts are busiest.
+    std::uint32_t max_capacity_declines = 3;
     // An orphaned job that a new pool declined is offered again after this time, in which a few
     // tasks end.
     milliseconds orphan_retry_delay{100};
@@ -93,9 +97,10 @@
         host_ref pool_ref;
         // The latest offer of the job to a pool; 0 once the pool has answered it.
         std::uint64_t offer = 0;
-        std::set<std::string> tried; // pools that the job was offered to; see requeue()
-        std::int64_t cpu = 0;        // demand of all its tasks, in thousandths of a core
-        bool queued = false;         // waits until a pool can be chosen
+        std::set<std::string> tried;         // pools that the job was offered to; see requeue()
+        std::uint32_t capacity_declines = 0; // by pools in `tried`
+        std::int64_t cpu = 0;                // demand of all its tasks, in thousandths of a core
+        bool queued = false;                 // waits until a pool can be chosen
         bool start_recorded = false; // offered to another host's pool, which has not declined it
         // The job's pool has failed or lost a worker. `former` has the workers that a failed pool
         // held, and by `runs_expire_at` all of its runs have ended.
@@ -109,13 +114,14 @@
         void requeue()
         {
             tried.clear();
+            capacity_declines = 0;
             queued = true;
         }
         microseconds retry_at{0}; // a declined orphan is not offered again before
     };
 
     // Returns the pool with the lowest cost of those that have not been tried, as the name of its
-    // host ("" for this host), or nullopt if none is left.
+    // host ("" for this host), or nullopt if none is left or enough have declined.
     std::optional<std::string> choose_pool(microseconds now, const open_call& call) const;
     // Returns the expected time in ms until the pool could start a job that takes `cpu`.
     // `reserved` is the CPU of the jobs offered to the pool since its load report.
--- a/tests/pool_offers_test.cpp
+++ b/tests/pool_offers_test.cpp
@@ -123,12 +123,13 @@
                 found.push_back(message->message.pool_job());
         return found;
     }
-    void decline(microseconds now, const host_ref& host, const wire::PoolJob& offer)
+    void decline(microseconds now, const host_ref& host, const wire::PoolJob& offer,
+                 answer_kind kind = answer_kind::no_worker_fits)
     {
         wire::PoolResult result;
         result.set_offer(offer.offer());
         result.set_id(offer.id());
-        result.set_kind(static_cast<std::uint32_t>(answer_kind::no_worker_fits));
+        result.set_kind(static_cast<std::uint32_t>(kind));
         result.set_declined(true);
         calls.on_result(now, host, result, out);
     }
@@ -136,6 +137,52 @@
 
 } // namespace
 
+// Pattern: overload of a large deployment. Each refused job was offered to every pool, so that the
+// hosts spent their time on offers that other hosts declined.
+BOOST_AUTO_TEST_CASE(a_job_that_three_pools_have_no_room_for_is_refused_without_asking_the_others)
+{
+    router_fixture test;
+    const std::vector<std::string> pools{"h2", "h3", "h4", "h5", "h6", "h7"};
+    test.tick(at_ms(1000));
+    for (std::size_t i = 0; i < pools.size(); ++i)
+        test.heartbeat(at_ms(1000), pools[i], "w" + std::to_string(i), milliseconds{10 * i});
+    test.submit(at_ms(1010));
+    std::size_t offers = 0;
+    for (bool offered = true; offered;)
+    {
+        offered = false;
+        for (const auto& pool : pools)
+            if (test.offers(pool).size() == 1 && offers < pools.size())
+            {
+                const auto offer = test.offers(pool).front();
+                test.out.clear();
+                ++offers;
+                test.decline(at_ms(1011), {pool, 1}, offer, answer_kind::over_capacity);
+                offered = true;
+                break;
+            }
+    }
+    BOOST_TEST(offers == 3U);
+    BOOST_TEST(test.calls.idle());
+}
+
+// A pool without workers for the job says nothing about the others' room.
+BOOST_AUTO_TEST_CASE(a_job_is_offered_on_to_the_only_pool_that_has_a_fitting_worker)
+{
+    router_fixture test;
+    const std::vector<std::string> pools{"h2", "h3", "h4", "h5", "h6"};
+    test.tick(at_ms(1000));
+    for (std::size_t i = 0; i < pools.size(); ++i)
+        test.heartbeat(at_ms(1000), pools[i], "w" + std::to_string(i), milliseconds{10 * i});
+    test.submit(at_ms(1010));
+    for (std::size_t i = 0; i + 1 < pools.size(); ++i)
+    {
+        BOOST_REQUIRE(test.offers(pools[i]).size() == 1U);
+        test.decline(at_ms(1011), {pools[i], 1}, test.offers(pools[i]).front());
+    }
+    BOOST_TEST(test.offers(pools.back()).size() == 1U);
+}
+
 // Guards against two runs of one task (incident TWICE): a refusal of the first offer arrived after
 // the second offer to the same pool.
 BOOST_AUTO_TEST_CASE(a_late_refusal_of_an_earlier_offer_does_not_release_the_job_to_another_pool)
