--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,8 @@
 SEEDS ?= 20000
 # 0 draws a random first seed and prints it.
 FIRST_SEED ?= 0
-# Number of tests that run in parallel. The three longest tests determine the total time.
-TESTS_AT_ONCE ?= 3
+# Number of tests that run in parallel.
+TESTS_AT_ONCE ?= $(JOBS)
 
 .PHONY: all install test demo soak broken asan tsan lint format bench clean
 
