--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -266,9 +266,9 @@
     BOOST_TEST(config->routes.at(0).terms.max_attempts == 4294967295U);
 }
 
-// Guards against a second start of a running task: a run that was listed in a row that could not be
-// read counted as not running.
-BOOST_AUTO_TEST_CASE(a_list_of_runs_with_an_unreadable_row_proves_nothing)
+// Guards against a second start of a running task: a run whose row, or the whole reply, could not
+// be read counted as not running.
+BOOST_AUTO_TEST_CASE(an_unreadable_list_of_runs_proves_nothing)
 {
     const std::string rows[] = {R"({"running":[["a.0.1.2",1,"",4],["b.0.1.2",1]]})",
                                 R"({"running":[["a.0.1.2","x","",4]]})",
@@ -276,7 +276,10 @@
                                 R"({"running":7})",
                                 R"({"ended":[[5,"a.0.1.2",1]]})",
                                 R"({"ended":[[-5,"a.0.1.2",1,"done",""]]})",
-                                R"({"ended":{}})"};
+                                R"({"ended":{}})",
+                                R"({"running":[["a.0.1.2",1,"",4)",
+                                "7",
+                                ""};
     for (const auto& text : rows)
         BOOST_TEST((decode_reply(reply(200, text)).result == pool::order_result::no_answer), text);
     const auto unread_percent = decode_reply(reply(200, R"({"running":[["a.0.1.2",1,"",null]]})"));
