Look up read workers only while some are unread

Change: the heartbeats are searched per unread worker, of which there are none once all have been read. No decision changes.

--- a/src/pool/call_router.cpp
+++ b/src/pool/call_router.cpp
@@ -460,7 +460,8 @@
     auto& call = found->second;
     withdraw_offer(now, call, out);
     answer = checked_answer(now, call.job.id, call.may_have_run, std::move(answer));
-    switch (row_of(answer.kind).result)
+    const auto result = row_of(answer.kind).result;
+    switch (result)
     {
     case outcome::complete:
         ++m_totals.complete;
@@ -486,7 +487,6 @@
                  ? " retry_after_ms=" + std::to_string(answer.retry_after.count())
                  : "") +
             (answer.detail.empty() ? "" : " detail=\"" + answer.detail + "\"")});
-    const auto result = row_of(answer.kind).result;
     if (result != outcome::not_run)
         remember(now, call.job.id, answer.kind == answer_kind::ok);
     // The caller of a job that may have started is told to retry: every host has to know of the
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -7,7 +7,6 @@
 #include "core/wire.hpp"
 #include <algorithm>
 #include <functional>
-#include <iterator>
 
 namespace egretledge::pool
 {
@@ -244,22 +243,25 @@
 void pool_host::update_awaited_lists(instant now, action_list& out)
 {
     const auto silent = m_membership.find_silent_hosts(now.steady);
-    std::set<std::string> read;
-    if (!silent.empty())
-        for (const auto& [name, host] : m_membership.all())
-            if (m_membership.alive(name, now.steady))
-                std::set_difference(host.held.begin(), host.held.end(), host.unread.begin(),
-                                    host.unread.end(), std::inserter(read, read.end()));
-    m_unread.update(silent, {[&](const std::string& id)
-                             {
-                                 const auto* own = m_pool.find(id);
-                                 return read.contains(id) || (own != nullptr && own->acquired());
-                             },
-                             [&](const std::string& id)
-                             {
-                                 const auto entry = m_registry.find(id);
-                                 return entry != m_registry.end() && !entry->second.leaving;
-                             }});
+    const auto read = [&](const std::string& id)
+    {
+        const auto* own = m_pool.find(id);
+        if (own != nullptr && own->acquired())
+            return true;
+        return std::any_of(m_membership.all().begin(), m_membership.all().end(),
+                           [&](const auto& item)
+                           {
+                               const auto& [name, host] = item;
+                               return host.held.contains(id) && !host.unread.contains(id) &&
+                                      m_membership.alive(name, now.steady);
+                           });
+    };
+    const auto listed = [&](const std::string& id)
+    {
+        const auto entry = m_registry.find(id);
+        return entry != m_registry.end() && !entry->second.leaving;
+    };
+    m_unread.update(silent, {read, listed});
     if (m_unread.awaited() != m_started.updates_awaited())
         out.push_back(actions::log_event{
             m_unread.awaited(), std::string("event=lists_awaited silent_hosts=") +
