--- a/src/pool/call_router.hpp
+++ b/src/pool/call_router.hpp
@@ -33,8 +33,8 @@
     milliseconds answer_retention{10000};
     std::size_t max_retained_answers = 4000;
     // A job that this many pools have declined for want of capacity is refused. The pools with the
-    // shortest announced waits are asked first, so that further ones rarely have room, and each
-    // offer costs messages and an admission decision when the hosts are busiest.
+    // shortest announced waits are asked first, and each offer costs messages and an admission
+    // decision when the hosts are busiest.
     std::uint32_t max_capacity_declines = 3;
     // An orphaned job that a new pool declined is offered again after this time, in which a few
     // tasks end.
