--- a/src/io/edge_metrics.cpp
+++ b/src/io/edge_metrics.cpp
@@ -79,6 +79,31 @@
     process_count_row{"peer_messages_dropped", &process_counts::peer_messages_dropped},
     process_count_row{"log_lines_dropped", &process_counts::log_lines_dropped}};
 
+struct process_gauge_row
+{
+    const char* name;
+    const char* help;
+    std::uint64_t process_counts::*value;
+};
+constexpr std::array process_gauge_rows{
+    process_gauge_row{"egretledge_resident_bytes", "Physical memory of this process",
+                      &process_counts::resident_bytes},
+    process_gauge_row{"egretledge_allocated_bytes", "Memory given out by the allocator",
+                      &process_counts::allocated_bytes},
+    process_gauge_row{"egretledge_unhandled_peer_messages",
+                      "Messages of other hosts that were received and not handled yet",
+                      &process_counts::unhandled_peer_messages},
+    process_gauge_row{"egretledge_caller_connections", "Open connections of callers",
+                      &process_counts::caller_connections},
+    process_gauge_row{"egretledge_worker_connections", "Connections to workers with a request",
+                      &process_counts::worker_connections},
+    process_gauge_row{"egretledge_idle_worker_connections",
+                      "Open connections to workers without a request",
+                      &process_counts::idle_worker_connections},
+    process_gauge_row{"egretledge_waiting_worker_requests",
+                      "Requests to workers that wait for a free connection",
+                      &process_counts::waiting_worker_requests}};
+
 struct gauge_row
 {
     const char* name;
@@ -132,6 +157,7 @@
     prometheus::Registry registry;
     std::array<prometheus::Histogram*, latency_rows.size()> histograms{};
     std::array<prometheus::Gauge*, gauge_rows.size()> gauges{};
+    std::array<prometheus::Gauge*, process_gauge_rows.size()> process_gauges{};
     prometheus::Gauge* store_reachable = nullptr;
     std::map<std::string, prometheus::Counter*> counters;
 };
@@ -152,6 +178,9 @@
     { return &prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({}); };
     for (std::size_t i = 0; i < gauge_rows.size(); ++i)
         m_instruments->gauges[i] = gauge(gauge_rows[i].name, gauge_rows[i].help);
+    for (std::size_t i = 0; i < process_gauge_rows.size(); ++i)
+        m_instruments->process_gauges[i] =
+            gauge(process_gauge_rows[i].name, process_gauge_rows[i].help);
     m_instruments->store_reachable =
         gauge("egretledge_store_reachable", "1 if the platform's store answered last");
     auto& events = prometheus::BuildCounter()
@@ -181,6 +210,9 @@
 {
     for (std::size_t i = 0; i < gauge_rows.size(); ++i)
         m_instruments->gauges[i]->Set(gauge_rows[i].value(host, now));
+    for (std::size_t i = 0; i < process_gauge_rows.size(); ++i)
+        m_instruments->process_gauges[i]->Set(
+            static_cast<double>(process.*process_gauge_rows[i].value));
     m_instruments->store_reachable->Set(process.store_reachable ? 1 : 0);
     // The decision logic keeps the totals; each counter is raised to its total.
     const auto update_counters = [&](const auto& rows, const auto& totals)
--- a/src/io/edge_metrics.hpp
+++ b/src/io/edge_metrics.hpp
@@ -34,6 +34,13 @@
     std::uint64_t store_calls = 0;
     std::uint64_t peer_messages_dropped = 0;
     std::uint64_t log_lines_dropped = 0;
+    std::uint64_t resident_bytes = 0;
+    std::uint64_t allocated_bytes = 0;
+    std::uint64_t unhandled_peer_messages = 0;
+    std::uint64_t caller_connections = 0;
+    std::uint64_t worker_connections = 0;      // with a request
+    std::uint64_t idle_worker_connections = 0; // without one
+    std::uint64_t waiting_worker_requests = 0; // for a free connection
 };
 
 class edge_metrics
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -88,9 +88,10 @@
 {
 public:
     pool(net::io_context& context, std::string address, std::uint32_t max_connections,
-         milliseconds idle_timeout)
+         milliseconds idle_timeout, std::shared_ptr<http_client::totals> totals)
         : m_strand(net::make_strand(context)), m_address(std::move(address)),
-          m_max_connections(max_connections), m_idle_timeout(idle_timeout)
+          m_max_connections(max_connections), m_idle_timeout(idle_timeout),
+          m_totals(std::move(totals))
     {
     }
 
@@ -100,6 +101,7 @@
             m_strand,
             [self = shared_from_this(), call = std::move(call), done = std::move(done)]() mutable
             {
+                ++self->m_totals->waiting_requests;
                 self->m_waiting.push_back(
                     {std::move(call), std::move(done), std::chrono::steady_clock::now()});
                 self->start_waiting_requests();
@@ -134,6 +136,7 @@
         {
             auto request = std::move(m_waiting.front());
             m_waiting.pop_front();
+            --m_totals->waiting_requests;
             const auto waited = std::chrono::steady_clock::now() - request.queued_at;
             if (waited >= request.call.timeout)
             {
@@ -142,6 +145,7 @@
                 continue;
             }
             ++m_connections_in_use;
+            ++m_totals->connections_in_use;
             start_request(std::move(request));
         }
     }
@@ -156,6 +160,7 @@
                                                 { return conn->idle_since > idle_cutoff; });
         for (auto stale = m_idle.begin(); stale != first_current; ++stale)
             (*stale)->stream.close();
+        m_totals->idle_connections -= static_cast<std::uint64_t>(first_current - m_idle.begin());
         m_idle.erase(m_idle.begin(), first_current);
     }
 
@@ -165,7 +170,10 @@
         const bool reused = !m_idle.empty();
         auto conn = reused ? m_idle.back() : std::make_shared<connection>(m_strand);
         if (reused)
+        {
             m_idle.pop_back();
+            --m_totals->idle_connections;
+        }
         const auto timeout = next_request.call.timeout;
         conn->done = std::move(next_request.done);
         conn->message = to_message(next_request.call);
@@ -228,12 +236,14 @@
     void finish(const connection_ptr& conn, expected<http_reply> result, bool keep_alive)
     {
         --m_connections_in_use;
+        --m_totals->connections_in_use;
         const auto done = std::move(conn->done);
         if (keep_alive)
         {
             conn->stream.expires_never();
             conn->idle_since = std::chrono::steady_clock::now();
             m_idle.push_back(conn);
+            ++m_totals->idle_connections;
         }
         else
             conn->stream.close();
@@ -248,6 +258,7 @@
     std::uint32_t m_connections_in_use = 0;
     std::deque<request> m_waiting;
     std::vector<connection_ptr> m_idle;
+    std::shared_ptr<http_client::totals> m_totals;
 };
 
 http_client::http_client(net::io_context& context, std::uint32_t connections,
@@ -265,7 +276,8 @@
         const std::lock_guard lock(m_mutex);
         auto& entry = m_pools[call.address];
         if (!entry)
-            entry = std::make_shared<pool>(m_context, call.address, m_connections, m_idle_timeout);
+            entry = std::make_shared<pool>(m_context, call.address, m_connections, m_idle_timeout,
+                                           m_totals);
         target = entry;
     }
     target->send(std::move(call), std::move(done));
--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -7,6 +7,7 @@
 // that no byte of it was sent, so it had no effect. After any other error it may have taken effect.
 
 #include "egretledge/types.hpp"
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
@@ -50,6 +51,15 @@
     // Sends one request. The callback runs once, on a thread of the context.
     void send(http_call call, callback done);
 
+    // Numbers of all addresses together.
+    struct totals
+    {
+        std::atomic<std::uint64_t> connections_in_use{0};
+        std::atomic<std::uint64_t> idle_connections{0};
+        std::atomic<std::uint64_t> waiting_requests{0}; // for a free connection
+    };
+    const totals& counts() const { return *m_totals; }
+
     class pool;
 
 private:
@@ -58,6 +68,7 @@
     milliseconds m_idle_timeout;
     std::mutex m_mutex;
     std::map<std::string, std::shared_ptr<pool>> m_pools;
+    std::shared_ptr<totals> m_totals = std::make_shared<totals>();
 };
 
 // Sends one request on a new connection and blocks until it ends; for command-line tools.
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE edge
 #include "io/edge_metrics.hpp"
+#include "io/process_memory.hpp"
 #include <boost/test/unit_test.hpp>
 
 using namespace egretledge;
@@ -59,6 +60,25 @@
     BOOST_TEST(has_line(text, "egretledge_store_reachable 1"));
 }
 
+// Guards against a process that is ended for its memory without a figure that tells what used it
+// (incident LOST).
+BOOST_AUTO_TEST_CASE(gauges_report_memory_and_what_is_open)
+{
+    edge_metrics metrics;
+    process_counts counts;
+    counts.resident_bytes = resident_bytes();
+    counts.allocated_bytes = allocated_bytes();
+    BOOST_TEST(counts.resident_bytes > 1000000U);
+    // Under sanitizers the allocator keeps no such figure.
+    BOOST_TEST(counts.allocated_bytes < counts.resident_bytes * 100);
+    counts.unhandled_peer_messages = 3;
+    counts.idle_worker_connections = 5;
+    const auto text = metrics.text(make_host(), {10s, 1000ms}, counts);
+    BOOST_TEST(has_line(text, "egretledge_unhandled_peer_messages 3"));
+    BOOST_TEST(has_line(text, "egretledge_idle_worker_connections 5"));
+    BOOST_TEST(!has_line(text, "egretledge_resident_bytes 0"));
+}
+
 BOOST_AUTO_TEST_CASE(each_answer_outcome_maps_to_its_latency_histogram)
 {
     BOOST_TEST((latency_of(answer_kind::ok) == latency::call_complete));
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -314,6 +314,35 @@
     BOOST_TEST((unanswered.error().kind == error_kind::timed_out));
 }
 
+BOOST_AUTO_TEST_CASE(the_http_client_counts_connections_and_waiting_requests)
+{
+    background thread;
+    std::promise<http_responder> first;
+    http_server server(thread.context, {},
+                       [&](const http_request& request, const http_responder& respond)
+                       {
+                           if (request.path == "/first")
+                               return first.set_value(respond);
+                           respond({});
+                       });
+    http_client client(thread.context, 1);
+    std::promise<void> ended;
+    client.send(call_to(server.port(), "GET", "/first"), [](const expected<http_reply>&) {});
+    const auto respond = first.get_future().get();
+    client.send(call_to(server.port(), "GET", "/second"),
+                [&](const expected<http_reply>&) { ended.set_value(); });
+    while (client.counts().waiting_requests == 0)
+        std::this_thread::sleep_for(milliseconds{1});
+    BOOST_TEST(client.counts().connections_in_use == 1U);
+    BOOST_TEST(client.counts().idle_connections == 0U);
+    respond({});
+    ended.get_future().get();
+    BOOST_TEST(client.counts().waiting_requests == 0U);
+    while (client.counts().idle_connections == 0)
+        std::this_thread::sleep_for(milliseconds{1});
+    BOOST_TEST(client.counts().connections_in_use == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(worker_messages_round_trip_and_malformed_ones_are_errors)
 {
     start_batch batch{{"h", 3}, 5, 9, {}};
