Request a missing configuration from one peer instead of pushing it

Cause: a host sent its whole configuration to each peer whose heartbeat announced an older one, with each heartbeat, and so did every other host. While a host lagged (slow, cut off from the store, just restarted), hosts x 8 copies a second were in flight to it, in its peers' send queues and in its own.

Change: config_fetcher asks one peer at a time, first one of the own data centre, once the platform's store has not delivered a configuration for 300 ms that a peer has in force; another one after 500 ms, then 1 s, then 2 s. The peer answers a request once. Old and new processes can run side by side: an old one ignores requests, and what it pushes is still taken.

Ruled out: pushing once a second, which is still a copy a second from each peer.

--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -23,7 +23,8 @@
               own_settings.data_centre = m_settings.membership.data_centre;
               return own_settings;
           }(),
-          m_membership, m_pool, m_started)
+          m_membership, m_pool, m_started),
+      m_config_fetcher(m_settings.config)
 {
     m_pool.set_visibility(
         [this](const caller_ref& caller)
@@ -129,6 +130,7 @@
         m_next_assignment = now.steady + m_settings.assignment_interval;
         acquire_and_release(now, out);
         update_awaited_lists(now, out);
+        request_config(now, out);
     }
     forward_results(now, out);
     set_senders(out);
@@ -412,15 +414,36 @@
     out.push_back(std::move(reply));
 }
 
-void pool_host::offer_config(const host_ref& to, action_list& out)
+void pool_host::request_config(instant now, action_list& out)
 {
-    actions::send_peer message{to.name, {}};
-    auto& offer = *message.message.mutable_pool_config();
-    offer.set_version(m_config->version);
-    offer.set_published(m_config->published);
+    const auto version = m_config ? m_config->version : 0;
+    const auto peer_name = m_config_fetcher.choose_peer(now.steady, version, m_membership);
+    if (!peer_name)
+        return;
+    out.push_back(actions::log_event{
+        true,
+        "event=config_requested peer=" + *peer_name + " version=" + std::to_string(version) +
+            " peer_version=" + std::to_string(m_membership.find(*peer_name)->config_version)});
+    actions::send_peer message{*peer_name, {}};
+    message.message.mutable_pool_config_request()->set_version(version);
     out.push_back(std::move(message));
 }
 
+void pool_host::on_config_request(const host_ref& from, const wire::PoolConfigRequest& message,
+                                  action_list& out)
+{
+    if (!m_config || m_config->version <= message.version())
+        return;
+    out.push_back(actions::log_event{false, "event=config_sent peer=" + from.name + " version=" +
+                                                std::to_string(m_config->version) + " bytes=" +
+                                                std::to_string(m_config->published.size())});
+    actions::send_peer reply{from.name, {}};
+    auto& config = *reply.message.mutable_pool_config();
+    config.set_version(m_config->version);
+    config.set_published(m_config->published);
+    out.push_back(std::move(reply));
+}
+
 std::optional<std::string> pool_host::on_peer(instant now, const wire::PeerMessage& message,
                                               action_list& out)
 {
@@ -437,8 +460,6 @@
             break;
         for (const auto offer : message.pool_beat().withdrawn())
             m_pool.cancel(now.steady, {from.name, from.incarnation, offer}, out);
-        if (m_config && host->config_version < m_config->version)
-            offer_config(from, out);
         break;
     }
     case wire::PeerMessage::kPoolJob:
@@ -455,6 +476,9 @@
         if (!m_config || message.pool_config().version() > m_config->version)
             published = message.pool_config().published();
         break;
+    case wire::PeerMessage::kPoolConfigRequest:
+        on_config_request(from, message.pool_config_request(), out);
+        break;
     default:
         break;
     }
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -12,6 +12,7 @@
 //     for (auto& action : out) carry_out(action);
 
 #include "pool/call_router.hpp"
+#include "pool/config_fetcher.hpp"
 #include "pool/routes.hpp"
 #include "pool/unread_workers.hpp"
 #include "pool/worker_assignment.hpp"
@@ -26,6 +27,7 @@
     call_router_settings calls; // data_centre is set from `membership`
     worker_assignment_settings assignment;
     started_jobs_settings started;
+    config_fetcher_settings config;
     milliseconds assignment_interval{40}; // between two rounds of choose_workers()
     // Longest time between two ticks while a backlog of events is processed: half of a heartbeat
     // interval. A later event runs the timers first.
@@ -135,7 +137,11 @@
     void cancel_silent_callers(instant now, action_list& out);
     void on_pool_job(instant now, const host_ref& from, const wire::PoolJob& message,
                      action_list& out);
-    void offer_config(const host_ref& to, action_list& out);
+    // Requests a newer configuration from a peer if one is due; see config_fetcher.
+    void request_config(instant now, action_list& out);
+    // Answers a peer's request if this host's configuration is newer.
+    void on_config_request(const host_ref& from, const wire::PoolConfigRequest& message,
+                           action_list& out);
     // Sets the sender of all messages to peers.
     void set_senders(action_list& out) const;
 
@@ -154,6 +160,7 @@
     started_jobs m_started;
     call_router m_call_router;
     unread_workers m_unread;
+    config_fetcher m_config_fetcher;
     microseconds m_next_assignment{0};
     microseconds m_last_tick{-1};          // -1: none yet
     std::uint64_t m_announced_version = 0; // held_version() at the last acquire_and_release()
