Close idle connections of the HTTP client without a further request

Cause: idle connections were closed only when the next request to the same address began. Connections to a worker that a host no longer called stayed open for good, also those that the worker had closed, and the state of an address was never removed. Memory and descriptors grew with every worker that was ever called.

Change: a timer for each address closes what stays idle for the idle timeout. An address with neither connections nor requests removes itself from the client. A request is counted before it is posted to the strand, so that no address is removed under it. addresses() returns how many are kept.

Ruled out: closing at the next request to any address (a host that sends none keeps its connections); removing an address on its connection's end alone (a request on its way to the strand would run beside a second set of connections to the same address).

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -1,6 +1,9 @@
 // Each address has a pool on its own strand, which holds the idle connections, the number of
 // connections in use, and the queue of waiting requests. A request uses an idle connection, opens a
-// new one, or waits.
+// new one, or waits. A timer closes the connections that stay idle. A pool with neither connections
+// nor requests removes itself from the client's map, so that what is kept follows the addresses in
+// use. A request is counted under the map's mutex before it is posted to the strand. The pool is
+// therefore not removed under it, and there is never a second pool for the same address.
 //
 // The server may have closed an idle connection in the meantime. If writing the request fails, or
 // the connection ends before any byte of the response, the request may still have arrived. This is
@@ -8,11 +11,15 @@
 // is idempotent.
 
 #include "io/http_client.hpp"
+#include <atomic>
 #include <boost/asio/connect.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
+#include <map>
+#include <mutex>
 #include <netinet/tcp.h>
 
 namespace egretledge
@@ -84,25 +91,38 @@
 
 } // namespace
 
+// The pools by address. The pools outlive the client while their operations are pending.
+struct http_client::pool_map
+{
+    std::mutex mutex;
+    std::map<std::string, std::shared_ptr<pool>> pools;
+};
+
 class http_client::pool : public std::enable_shared_from_this<pool>
 {
 public:
-    pool(net::io_context& context, std::string address, std::uint32_t max_connections,
-         milliseconds idle_timeout)
-        : m_strand(net::make_strand(context)), m_address(std::move(address)),
-          m_max_connections(max_connections), m_idle_timeout(idle_timeout)
+    pool(net::io_context& context, std::weak_ptr<pool_map> pools, std::string address,
+         std::uint32_t max_connections, milliseconds idle_timeout)
+        : m_strand(net::make_strand(context)), m_pools(std::move(pools)),
+          m_address(std::move(address)), m_max_connections(max_connections),
+          m_idle_timeout(idle_timeout), m_idle_timer(m_strand)
     {
     }
 
+    // Announces one call of send(). The caller holds the map's mutex.
+    void expect_request() { ++m_expected_requests; }
+
     void send(http_call call, callback done)
     {
         net::post(
             m_strand,
             [self = shared_from_this(), call = std::move(call), done = std::move(done)]() mutable
             {
+                --self->m_expected_requests;
                 self->m_waiting.push_back(
                     {std::move(call), std::move(done), std::chrono::steady_clock::now()});
                 self->start_waiting_requests();
+                self->remove_if_unused();
             });
     }
 
@@ -159,6 +179,41 @@
         m_idle.erase(m_idle.begin(), first_current);
     }
 
+    // Starts the timer that closes the connections that stay idle, unless it runs. The timer does
+    // not own the pool, so that it doesn't outlive the client by the idle timeout.
+    void watch_idle_connections()
+    {
+        if (m_idle.empty() || std::exchange(m_idle_timer_runs, true))
+            return;
+        m_idle_timer.expires_at(m_idle.front()->idle_since + m_idle_timeout);
+        m_idle_timer.async_wait(
+            [weak = weak_from_this()](error_code code)
+            {
+                const auto self = weak.lock();
+                if (code || !self)
+                    return;
+                self->m_idle_timer_runs = false;
+                self->close_idle_connections();
+                self->watch_idle_connections();
+                self->remove_if_unused();
+            });
+    }
+
+    // Removes the pool from the client's map unless it has connections or requests. It may already
+    // be removed, and another pool may be in its place.
+    void remove_if_unused()
+    {
+        if (m_connections_in_use > 0 || !m_waiting.empty() || !m_idle.empty())
+            return;
+        const auto map = m_pools.lock();
+        if (!map)
+            return;
+        const std::lock_guard lock(map->mutex);
+        const auto entry = map->pools.find(m_address);
+        if (m_expected_requests == 0 && entry != map->pools.end() && entry->second.get() == this)
+            map->pools.erase(entry);
+    }
+
     void start_request(request next_request)
     {
         close_idle_connections();
@@ -234,25 +289,33 @@
             conn->stream.expires_never();
             conn->idle_since = std::chrono::steady_clock::now();
             m_idle.push_back(conn);
+            watch_idle_connections();
         }
         else
             conn->stream.close();
         done(std::move(result));
         start_waiting_requests();
+        remove_if_unused();
     }
 
     net::strand<net::io_context::executor_type> m_strand;
+    std::weak_ptr<pool_map> m_pools;
     std::string m_address;
     std::uint32_t m_max_connections;
     milliseconds m_idle_timeout;
     std::uint32_t m_connections_in_use = 0;
     std::deque<request> m_waiting;
     std::vector<connection_ptr> m_idle;
+    net::steady_timer m_idle_timer;
+    bool m_idle_timer_runs = false;
+    // Requests that were announced and have not reached the strand.
+    std::atomic<std::uint32_t> m_expected_requests{0};
 };
 
 http_client::http_client(net::io_context& context, std::uint32_t connections,
                          milliseconds idle_timeout)
-    : m_context(context), m_connections(connections), m_idle_timeout(idle_timeout)
+    : m_context(context), m_connections(connections), m_idle_timeout(idle_timeout),
+      m_pools(std::make_shared<pool_map>())
 {
 }
 
@@ -262,15 +325,23 @@
 {
     std::shared_ptr<pool> target;
     {
-        const std::lock_guard lock(m_mutex);
-        auto& entry = m_pools[call.address];
+        const std::lock_guard lock(m_pools->mutex);
+        auto& entry = m_pools->pools[call.address];
         if (!entry)
-            entry = std::make_shared<pool>(m_context, call.address, m_connections, m_idle_timeout);
+            entry = std::make_shared<pool>(m_context, m_pools, call.address, m_connections,
+                                           m_idle_timeout);
+        entry->expect_request();
         target = entry;
     }
     target->send(std::move(call), std::move(done));
 }
 
+std::size_t http_client::addresses() const
+{
+    const std::lock_guard lock(m_pools->mutex);
+    return m_pools->pools.size();
+}
+
 expected<http_reply> http_send(http_call call)
 {
     net::io_context context;
--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -9,9 +9,7 @@
 #include "egretledge/types.hpp"
 #include <boost/asio/io_context.hpp>
 #include <functional>
-#include <map>
 #include <memory>
-#include <mutex>
 
 namespace egretledge
 {
@@ -41,8 +39,8 @@
     using callback = std::function<void(expected<http_reply>)>;
 
     // Opens at most `connections` connections to one address at a time; further requests wait
-    // within their timeout. A connection that was idle for `idle_timeout` is not reused, because
-    // the server may be closing it.
+    // within their timeout. A connection that was idle for `idle_timeout` is closed, because the
+    // server may be closing it.
     http_client(boost::asio::io_context& context, std::uint32_t connections,
                 milliseconds idle_timeout = std::chrono::minutes{1});
     ~http_client();
@@ -50,14 +48,17 @@
     // Sends one request. The callback runs once, on a thread of the context.
     void send(http_call call, callback done);
 
+    // Returns the number of addresses to which a connection or a request is open.
+    std::size_t addresses() const;
+
     class pool;
+    struct pool_map;
 
 private:
     boost::asio::io_context& m_context;
     std::uint32_t m_connections;
     milliseconds m_idle_timeout;
-    std::mutex m_mutex;
-    std::map<std::string, std::shared_ptr<pool>> m_pools;
+    std::shared_ptr<pool_map> m_pools;
 };
 
 // Sends one request on a new connection and blocks until it ends; for command-line tools.
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -5,6 +5,7 @@
 #include "io/daemon.hpp"
 #include "io/dump_json.hpp"
 #include "io/standin_server.hpp"
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -314,6 +315,86 @@
     BOOST_TEST((unanswered.error().kind == error_kind::timed_out));
 }
 
+namespace
+{
+
+// Waits until `holds` returns true, at most 3 s. Returns what it returned last.
+bool holds_soon(const std::function<bool()>& holds)
+{
+    constexpr int tries = 300;
+    for (int i = 0; i < tries && !holds(); ++i)
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    return holds();
+}
+
+void respond_ok(const http_request&, const http_responder& respond)
+{
+    respond({200, "{}", "application/json", 0});
+}
+
+} // namespace
+
+// Guards against connections that stayed open for good, with their memory and descriptors: an idle
+// connection was closed only when the next request to the same address began.
+BOOST_AUTO_TEST_CASE(idle_connections_are_closed_though_no_further_request_is_sent)
+{
+    background here;
+    http_server server(here.context, {}, respond_ok);
+    http_client client(here.context, 3, milliseconds{100});
+    std::promise<unsigned> status;
+    client.send(call_to(server.port(), "GET", "/"), [&](const expected<http_reply>& reply)
+                { status.set_value(reply ? reply->status : 0); });
+    BOOST_TEST(status.get_future().get() == 200U);
+    BOOST_TEST(server.connections() == 1U);
+    BOOST_TEST(holds_soon([&] { return server.connections() == 0; }));
+}
+
+// Guards against memory that grows with each worker that was ever called: the state kept for an
+// address was never removed.
+BOOST_AUTO_TEST_CASE(addresses_without_connections_and_requests_are_forgotten)
+{
+    background here;
+    http_server server(here.context, {}, respond_ok);
+    http_client client(here.context, 3, milliseconds{100});
+    std::atomic<unsigned> refused{0};
+    std::atomic<unsigned> answered{0};
+    const auto count = [&](const expected<http_reply>& reply) { ++(reply ? answered : refused); };
+    constexpr std::uint16_t closed_ports = 20;
+    for (std::uint16_t port = 1; port <= closed_ports; ++port)
+        client.send(call_to(port, "GET", "/"), count);
+    client.send(call_to(server.port(), "GET", "/"), count);
+    BOOST_TEST(holds_soon([&] { return refused == closed_ports && answered == 1; }));
+    BOOST_TEST(holds_soon([&] { return client.addresses() == 0; }));
+}
+
+// Guards against a request that is lost because its address is forgotten at the same moment.
+BOOST_AUTO_TEST_CASE(requests_are_answered_while_their_addresses_are_forgotten)
+{
+    background here;
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 2; ++i)
+        threads.emplace_back([&] { here.context.run(); });
+    http_server server(here.context, {}, respond_ok);
+    std::atomic<unsigned> answered{0};
+    std::atomic<unsigned> failed{0};
+    constexpr unsigned rounds = 400;
+    {
+        http_client client(here.context, 2, milliseconds{1});
+        for (unsigned i = 0; i < rounds; ++i)
+        {
+            client.send(call_to(server.port(), "GET", "/"),
+                        [&](const expected<http_reply>& reply) { ++(reply ? answered : failed); });
+            std::this_thread::sleep_for(std::chrono::microseconds{500 + (i % 8) * 200});
+        }
+        BOOST_TEST(holds_soon([&] { return answered + failed == rounds; }));
+        BOOST_TEST(holds_soon([&] { return client.addresses() == 0; }));
+    }
+    BOOST_TEST(failed == 0U);
+    here.context.stop();
+    for (auto& thread : threads)
+        thread.join();
+}
+
 BOOST_AUTO_TEST_CASE(worker_messages_round_trip_and_malformed_ones_are_errors)
 {
     start_batch batch{{"h", 3}, 5, 9, {}};
