Bound the HTTP client's queue in length and time

Cause: requests that waited for a connection had no bound in number, and a request whose time was up left the queue only when a connection became free, so as late as the slowest open request (a long poll, or the timeout to a silent worker).

Change: at most 512 requests wait for each address (max_waiting_requests); a further one is refused at once. A timer refuses each waiting request when its time is up. Both end as unreachable: no byte was sent. Which requests are sent does not change within the bound, only when the others end.

Ruled out: that starts wait for long on a pool's host: its orders end after 50 ms, holds excepted, so its queue was short-lived but not short.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -1,9 +1,10 @@
 // Each address has a pool on its own strand, which holds the idle connections, the number of
 // connections in use, and the queue of waiting requests. A request uses an idle connection, opens a
-// new one, or waits. A timer closes the connections that stay idle. A pool with neither connections
-// nor requests removes itself from the client's map, so that what is kept follows the addresses in
-// use. A request is counted under the map's mutex before it is posted to the strand. The pool is
-// therefore not removed under it, and there is never a second pool for the same address.
+// new one, or waits; a timer refuses waiting requests at their time limits. Another timer closes
+// the connections that stay idle. A pool with neither connections nor requests removes itself from
+// the client's map, so that what is kept follows the addresses in use. A request is counted under
+// the map's mutex before it is posted to the strand. The pool is therefore not removed under it,
+// and there is never a second pool for the same address.
 //
 // The server may have closed an idle connection in the meantime. If writing the request fails, or
 // the connection ends before any byte of the response, the request may still have arrived. This is
@@ -105,7 +106,7 @@
          std::uint32_t max_connections, milliseconds idle_timeout)
         : m_strand(net::make_strand(context)), m_pools(std::move(pools)),
           m_address(std::move(address)), m_max_connections(max_connections),
-          m_idle_timeout(idle_timeout), m_idle_timer(m_strand)
+          m_idle_timeout(idle_timeout), m_waiting_timer(m_strand), m_idle_timer(m_strand)
     {
     }
 
@@ -119,9 +120,13 @@
             [self = shared_from_this(), call = std::move(call), done = std::move(done)]() mutable
             {
                 --self->m_expected_requests;
-                self->m_waiting.push_back(
-                    {std::move(call), std::move(done), std::chrono::steady_clock::now()});
+                if (self->m_waiting.size() >= max_waiting_requests)
+                    return self->refuse(done, "too many requests wait for a connection");
+                const auto deadline = std::chrono::steady_clock::now() + call.timeout;
+                self->m_waiting.push_back({std::move(call), std::move(done), deadline});
                 self->start_waiting_requests();
+                if (!self->m_waiting.empty())
+                    self->refuse_overdue_at(deadline);
                 self->remove_if_unused();
             });
     }
@@ -131,7 +136,7 @@
     {
         http_call call;
         callback done;
-        std::chrono::steady_clock::time_point queued_at;
+        std::chrono::steady_clock::time_point deadline; // for a connection to become free
     };
     struct connection
     {
@@ -148,17 +153,18 @@
     };
     using connection_ptr = std::shared_ptr<connection>;
 
+    // The time of the next refusal while no request waits.
+    static constexpr auto no_refusal = std::chrono::steady_clock::time_point::max();
+
     void start_waiting_requests()
     {
         while (!m_waiting.empty() && m_connections_in_use < m_max_connections)
         {
             auto request = std::move(m_waiting.front());
             m_waiting.pop_front();
-            const auto waited = std::chrono::steady_clock::now() - request.queued_at;
-            if (waited >= request.call.timeout)
+            if (std::chrono::steady_clock::now() >= request.deadline)
             {
-                request.done(tl::make_unexpected(
-                    error{error_kind::unreachable, m_address + ": no connection was free"}));
+                refuse(request.done, "no connection was free");
                 continue;
             }
             ++m_connections_in_use;
@@ -166,6 +172,48 @@
         }
     }
 
+    // Ends a request of which nothing was sent.
+    void refuse(const callback& done, const char* reason) const
+    {
+        done(tl::make_unexpected(error{error_kind::unreachable, m_address + ": " + reason}));
+    }
+
+    // Sets the timer that refuses overdue requests to `deadline` unless it is set to an earlier
+    // time.
+    void refuse_overdue_at(std::chrono::steady_clock::time_point deadline)
+    {
+        if (deadline >= m_next_refusal)
+            return;
+        m_next_refusal = deadline;
+        m_waiting_timer.expires_at(deadline);
+        m_waiting_timer.async_wait(
+            [weak = weak_from_this()](error_code code)
+            {
+                const auto self = weak.lock();
+                if (code || !self)
+                    return;
+                self->m_next_refusal = no_refusal;
+                self->refuse_overdue_requests();
+                self->remove_if_unused();
+            });
+    }
+
+    void refuse_overdue_requests()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        std::vector<callback> overdue;
+        auto next_refusal = no_refusal;
+        for (auto& request : m_waiting)
+            if (request.deadline <= now)
+                overdue.push_back(std::move(request.done));
+            else
+                next_refusal = std::min(next_refusal, request.deadline);
+        std::erase_if(m_waiting, [now](const request& r) { return r.deadline <= now; });
+        refuse_overdue_at(next_refusal);
+        for (const auto& done : overdue)
+            refuse(done, "no connection was free");
+    }
+
     // Closes the connections that have been idle for at least m_idle_timeout. m_idle is ordered by
     // age, with the most recently used connection at the back.
     void close_idle_connections()
@@ -305,6 +353,8 @@
     milliseconds m_idle_timeout;
     std::uint32_t m_connections_in_use = 0;
     std::deque<request> m_waiting;
+    net::steady_timer m_waiting_timer;
+    std::chrono::steady_clock::time_point m_next_refusal = no_refusal;
     std::vector<connection_ptr> m_idle;
     net::steady_timer m_idle_timer;
     bool m_idle_timer_runs = false;
--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -38,9 +38,13 @@
 public:
     using callback = std::function<void(expected<http_reply>)>;
 
-    // Opens at most `connections` connections to one address at a time; further requests wait
-    // within their timeout. A connection that was idle for `idle_timeout` is closed, because the
-    // server may be closing it.
+    // The most requests that wait for a connection to one address. A request to a worker carries a
+    // job's payload of up to 4 KB, so they take about 2 MB.
+    static constexpr std::size_t max_waiting_requests = 512;
+
+    // Opens at most `connections` connections to one address at a time; up to max_waiting_requests
+    // further requests wait within their timeout. What can't be sent is `unreachable`. A connection
+    // that was idle for `idle_timeout` is closed, because the server may be closing it.
     http_client(boost::asio::io_context& context, std::uint32_t connections,
                 milliseconds idle_timeout = std::chrono::minutes{1});
     ~http_client();
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -395,6 +395,84 @@
         thread.join();
 }
 
+namespace
+{
+
+// A server that reads requests and doesn't answer them.
+struct silent_server
+{
+    boost::asio::io_context context{1};
+    std::vector<http_responder> open;
+    std::atomic<std::size_t> handled{0};
+    http_server server{context,
+                       {},
+                       [this](const http_request&, const http_responder& respond)
+                       {
+                           open.push_back(respond);
+                           ++handled;
+                       }};
+    std::thread thread{[this] { context.run(); }};
+    ~silent_server()
+    {
+        context.stop();
+        thread.join();
+    }
+};
+
+} // namespace
+
+// Guards against requests that outlive their time: a waiting request was refused only once a
+// connection became free, which took as long as the slowest open request.
+BOOST_AUTO_TEST_CASE(a_waiting_request_is_refused_as_soon_as_its_time_is_up)
+{
+    background here;
+    silent_server silent;
+    http_client client(here.context, 1);
+    std::promise<void> first_ended;
+    auto call = call_to(silent.server.port(), "POST", "/");
+    call.timeout = milliseconds{2500};
+    client.send(call, [&](const expected<http_reply>&) { first_ended.set_value(); });
+    std::promise<expected<http_reply>> waiting;
+    call.timeout = milliseconds{100};
+    const auto begin = std::chrono::steady_clock::now();
+    client.send(call, [&](expected<http_reply> reply) { waiting.set_value(std::move(reply)); });
+    const auto refused = waiting.get_future().get();
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < std::chrono::milliseconds{1500}));
+    BOOST_REQUIRE(!refused);
+    BOOST_TEST((refused.error().kind == error_kind::unreachable));
+    first_ended.get_future().wait();
+}
+
+// Guards against a queue that grows without a bound while a worker is silent.
+BOOST_AUTO_TEST_CASE(requests_beyond_the_longest_queue_are_refused_at_once_as_unsent)
+{
+    background here;
+    silent_server silent;
+    http_client client(here.context, 1);
+    constexpr std::size_t beyond = 10;
+    constexpr std::size_t sent = 1 + http_client::max_waiting_requests + beyond;
+    std::atomic<std::size_t> unsent{0};
+    std::atomic<std::size_t> unanswered{0};
+    auto call = call_to(silent.server.port(), "POST", "/");
+    call.timeout = milliseconds{2500};
+    const auto begin = std::chrono::steady_clock::now();
+    const auto count = [&](const expected<http_reply>& reply)
+    {
+        if (!reply)
+            ++(reply.error().kind == error_kind::unreachable ? unsent : unanswered);
+    };
+    for (std::size_t i = 0; i < sent; ++i)
+    {
+        client.send(call, count);
+        call.timeout = milliseconds{1500};
+    }
+    BOOST_TEST(holds_soon([&] { return unsent == beyond; }));
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < std::chrono::milliseconds{1000}));
+    BOOST_TEST(holds_soon([&] { return unsent + unanswered == sent; }));
+    BOOST_TEST(silent.handled == 1U);
+    BOOST_TEST(unanswered == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(worker_messages_round_trip_and_malformed_ones_are_errors)
 {
     start_batch batch{{"h", 3}, 5, 9, {}};
