Accept only replies of a size that the store and workers may send

Cause: the HTTP client accepted a reply of up to 256 MB, on hosts of 160 MB. The memory is taken at once if the reply states its length.

A larger reply ends the request as timed_out, since it may have taken effect. egretd and the command line keep 256 MiB: a page of egretd's log has no bound in bytes.

Ruled out: one limit for both (eight connections to each worker would then hold four times as much).

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -35,8 +35,6 @@
 namespace
 {
 
-constexpr std::uint64_t max_reply_bytes = 256ULL << 20;
-
 expected<tcp::endpoint> parse_address(const std::string& address)
 {
     const auto colon = address.rfind(':');
@@ -103,10 +101,11 @@
 {
 public:
     pool(net::io_context& context, std::weak_ptr<pool_map> pools, std::string address,
-         std::uint32_t max_connections, milliseconds idle_timeout)
+         std::uint32_t max_connections, milliseconds idle_timeout, std::uint64_t max_reply_bytes)
         : m_strand(net::make_strand(context)), m_pools(std::move(pools)),
           m_address(std::move(address)), m_max_connections(max_connections),
-          m_idle_timeout(idle_timeout), m_waiting_timer(m_strand), m_idle_timer(m_strand)
+          m_idle_timeout(idle_timeout), m_max_reply_bytes(max_reply_bytes),
+          m_waiting_timer(m_strand), m_idle_timer(m_strand)
     {
     }
 
@@ -273,7 +272,7 @@
         conn->done = std::move(next_request.done);
         conn->message = to_message(next_request.call);
         conn->parser.emplace();
-        conn->parser->body_limit(max_reply_bytes);
+        conn->parser->body_limit(m_max_reply_bytes);
         conn->stream.expires_after(timeout);
         if (reused)
             return write(conn);
@@ -351,6 +350,7 @@
     std::string m_address;
     std::uint32_t m_max_connections;
     milliseconds m_idle_timeout;
+    std::uint64_t m_max_reply_bytes;
     std::uint32_t m_connections_in_use = 0;
     std::deque<request> m_waiting;
     net::steady_timer m_waiting_timer;
@@ -363,9 +363,9 @@
 };
 
 http_client::http_client(net::io_context& context, std::uint32_t connections,
-                         milliseconds idle_timeout)
+                         milliseconds idle_timeout, std::uint64_t max_reply_bytes)
     : m_context(context), m_connections(connections), m_idle_timeout(idle_timeout),
-      m_pools(std::make_shared<pool_map>())
+      m_max_reply_bytes(max_reply_bytes), m_pools(std::make_shared<pool_map>())
 {
 }
 
@@ -379,7 +379,7 @@
         auto& entry = m_pools->pools[call.address];
         if (!entry)
             entry = std::make_shared<pool>(m_context, m_pools, call.address, m_connections,
-                                           m_idle_timeout);
+                                           m_idle_timeout, m_max_reply_bytes);
         entry->expect_request();
         target = entry;
     }
--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -42,11 +42,16 @@
     // job's payload of up to 4 KB, so they take about 2 MB.
     static constexpr std::size_t max_waiting_requests = 512;
 
+    // Enough for a page of egretd's log, which is bounded in records but not in bytes.
+    static constexpr std::uint64_t default_max_reply_bytes = 256ULL << 20;
+
     // Opens at most `connections` connections to one address at a time; up to max_waiting_requests
     // further requests wait within their timeout. What can't be sent is `unreachable`. A connection
-    // that was idle for `idle_timeout` is closed, because the server may be closing it.
+    // that was idle for `idle_timeout` is closed, because the server may be closing it. A request
+    // whose reply has a body of more than `max_reply_bytes` is `timed_out`.
     http_client(boost::asio::io_context& context, std::uint32_t connections,
-                milliseconds idle_timeout = std::chrono::minutes{1});
+                milliseconds idle_timeout = std::chrono::minutes{1},
+                std::uint64_t max_reply_bytes = default_max_reply_bytes);
     ~http_client();
 
     // Sends one request. The callback runs once, on a thread of the context.
@@ -62,6 +67,7 @@
     boost::asio::io_context& m_context;
     std::uint32_t m_connections;
     milliseconds m_idle_timeout;
+    std::uint64_t m_max_reply_bytes;
     std::shared_ptr<pool_map> m_pools;
 };
 
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -473,6 +473,33 @@
     BOOST_TEST(unanswered == 1U);
 }
 
+// Guards against a reply that takes more memory than the host has: 256 MB were accepted.
+BOOST_AUTO_TEST_CASE(a_reply_above_the_limit_is_not_accepted)
+{
+    background here;
+    constexpr std::size_t limit = 4096;
+    http_server server(here.context, {},
+                       [](const http_request& request, const http_responder& respond)
+                       {
+                           const auto size = limit + (request.path == "/larger" ? 1 : 0);
+                           respond({200, std::string(size, 'x'), "text/plain", 0});
+                       });
+    http_client client(here.context, 1, std::chrono::minutes{1}, limit);
+    const auto fetch = [&](const char* path)
+    {
+        std::promise<expected<http_reply>> ended;
+        client.send(call_to(server.port(), "GET", path),
+                    [&](expected<http_reply> reply) { ended.set_value(std::move(reply)); });
+        return ended.get_future().get();
+    };
+    const auto larger = fetch("/larger");
+    BOOST_REQUIRE(!larger);
+    BOOST_TEST((larger.error().kind == error_kind::timed_out)); // the request took effect
+    const auto largest = fetch("/");
+    BOOST_REQUIRE(largest);
+    BOOST_TEST(largest->body.size() == limit);
+}
+
 BOOST_AUTO_TEST_CASE(worker_messages_round_trip_and_malformed_ones_are_errors)
 {
     start_batch batch{{"h", 3}, 5, 9, {}};
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -287,6 +287,41 @@
     BOOST_TEST(unread_percent.running.at(0).percent == 0U);
 }
 
+// Guards against a limit that cuts off what the store and the workers may send. The sizes are the
+// protocol's: 500 records of at most 262,144 bytes or 1 MB a page, and 500 ends a list.
+BOOST_AUTO_TEST_CASE(the_largest_replies_of_store_and_workers_are_within_the_limits)
+{
+    constexpr int max_rows = 500;
+    constexpr std::size_t record_bytes = 262144;
+    constexpr std::size_t page_bytes = 1ULL << 20;
+    const std::string longest_key(255, '\x01'); // six characters each when escaped
+    json::array items;
+    for (int i = 0; i < max_rows; ++i)
+    {
+        // The records exceed the page's size only with the last one.
+        const bool large = i <= static_cast<int>(page_bytes / record_bytes);
+        const std::string value(large ? (record_bytes + 2) / 3 * 4 : 0, 'A');
+        items.push_back(json::object{{"key", longest_key}, {"value", value}, {"offset", i}});
+    }
+    const auto page = json::serialize(
+        json::object{{"items", std::move(items)}, {"has_more", true}, {"end", 1ULL << 62}});
+    BOOST_TEST(page.size() > page_bytes);
+    BOOST_TEST(page.size() < max_store_reply_bytes);
+
+    constexpr int running_tasks = 2000; // as many as a job has
+    const std::string task = "5c0e7a21d94b36f8.4294967295.4294967295.4294967295";
+    const std::string checkpoint(64, '0');
+    json::array running;
+    for (int i = 0; i < running_tasks; ++i)
+        running.push_back(json::array{task, 1ULL << 32, checkpoint, 100});
+    json::array ended;
+    for (int i = 0; i < max_rows; ++i)
+        ended.push_back(json::array{1ULL << 62, task, 1ULL << 32, "stopped", checkpoint});
+    const auto lists = json::serialize(json::object{
+        {"clock_ms", 1ULL << 62}, {"running", std::move(running)}, {"ended", std::move(ended)}});
+    BOOST_TEST(lists.size() < max_worker_reply_bytes);
+}
+
 BOOST_AUTO_TEST_CASE(task_names_round_trip)
 {
     const pool::task_name task{"5c0e7a21d94b36f8", 0, 1, 17};
