Bound the request bodies that the HTTP server receives at the same time

Cause: each body had a limit (8 MiB), but all connections together had none: 3,000 callers of egret-edge could have 24 GB open.

Change: the server counts the bodies that are being received (64 MiB by default): a stated length before the body is read, a body in chunks as it grows. A request that would exceed this is answered with 504 "unknown" and its connection ends; a body that is the only one, and a request without a body, always pass. The answer is not 503, since "not run" would be false for a request that another host has already had.

Ruled out by reading: growth of the connections' read buffers: Beast reads a body in pieces of the buffer's capacity, which the header limit bounds.

--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -1,7 +1,8 @@
 // Each connection has one session object on its own strand. A session reads one request, passes it
 // to the handler, and reads the next request only after the response is written. This bounds the
 // work that one connection can queue. Each read has a timeout, so a slow or silent caller occupies
-// only a small object.
+// only a small object. The bodies that are being received are counted together: a stated length
+// before the body is read, a body in chunks as it grows.
 //
 // A session owns itself through shared pointers in its pending operations, as Asio requires, and
 // shares the settings and the handler with the server.
@@ -31,6 +32,7 @@
     std::atomic<bool> draining{false};
     std::atomic<bool> stopping{false};
     std::atomic<std::uint32_t> connections{0};
+    std::atomic<std::uint64_t> open_body_bytes{0};
     std::atomic<std::uint64_t> next_request_number{1};
 };
 
@@ -48,7 +50,11 @@
     {
         ++m_common->connections;
     }
-    ~session() { --m_common->connections; }
+    ~session()
+    {
+        release_body();
+        --m_common->connections;
+    }
 
     void start()
     {
@@ -83,14 +89,61 @@
         if (code)
             return reject(code);
         beast::get_lowest_layer(m_stream).expires_after(m_common->settings.transfer_timeout);
-        http::async_read(m_stream, m_buffer, *m_parser,
-                         [self = this->shared_from_this()](error_code failure, std::size_t)
-                         { self->on_request(failure); });
+        read_body();
+    }
+
+    void read_body()
+    {
+        const auto stated = m_parser->content_length().value_or(0);
+        if (!reserve_body(std::max<std::uint64_t>(stated, m_parser->get().body().size())))
+            return refuse_body();
+        if (m_parser->is_done())
+            return on_request();
+        http::async_read_some(m_stream, m_buffer, *m_parser,
+                              [self = this->shared_from_this()](error_code code, std::size_t)
+                              {
+                                  if (code)
+                                      return self->reject(code);
+                                  self->read_body();
+                              });
+    }
+
+    // Counts `size` bytes for the body that is being received, instead of what was counted for it
+    // before. Returns false if the open bodies of all connections would then be too large.
+    bool reserve_body(std::uint64_t size)
+    {
+        if (size <= m_reserved_bytes)
+            return true;
+        auto& open = m_common->open_body_bytes;
+        auto before = open.load();
+        std::uint64_t others = 0;
+        do
+        {
+            others = before - m_reserved_bytes;
+            if (others > 0 && others + size > m_common->settings.max_open_body_bytes)
+                return false;
+        } while (!open.compare_exchange_weak(before, others + size));
+        m_reserved_bytes = size;
+        return true;
+    }
+
+    void release_body() { m_common->open_body_bytes -= std::exchange(m_reserved_bytes, 0); }
+
+    // Refuses a request whose body is not received. The answer is not that the request had no
+    // effect, since the same request may have arrived before.
+    void refuse_body()
+    {
+        m_keep_alive = false;
+        m_parser.emplace();
+        release_body();
+        write({504, R"({"outcome":"unknown","kind":"overloaded","remedy":"send it again"})",
+               "application/json", 0});
     }
 
     void reject(error_code code)
     {
         m_keep_alive = false;
+        release_body();
         if (code == http::error::body_limit)
             return write({413, R"({"outcome":"rejected","kind":"too_large","remedy":"send less"})",
                           "application/json", 0});
@@ -108,10 +161,8 @@
         close();
     }
 
-    void on_request(error_code code)
+    void on_request()
     {
-        if (code)
-            return reject(code);
         beast::get_lowest_layer(m_stream).expires_never();
         auto& message = m_parser->get();
         m_keep_alive = message.keep_alive();
@@ -139,6 +190,7 @@
                     return close();
                 watch_connection(request.number);
             }
+        release_body();
         m_common->handler(std::move(request),
                           [self = this->shared_from_this()](http_response response)
                           {
@@ -218,6 +270,7 @@
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_response;
+    std::uint64_t m_reserved_bytes = 0; // counted in shared::open_body_bytes
     bool m_keep_alive = true;
     std::uint64_t m_watched_request = 0; // the open request's number; 0 if not watched
 };
--- a/src/io/http_server.hpp
+++ b/src/io/http_server.hpp
@@ -48,6 +48,10 @@
     std::uint16_t port = 0;                // 0: any free port
     std::uint32_t header_limit = 8192;     // bytes
     std::uint64_t body_limit = 8ULL << 20; // bytes
+    // The most bytes of the bodies that are being received at the same time, on all connections: a
+    // quarter of the 256 MB that a host spends. A body that would exceed it, and isn't the only
+    // one, is refused with 504.
+    std::uint64_t max_open_body_bytes = 64ULL << 20;
     std::uint32_t max_connections = 10000;
     // The time limit for receiving one request from a caller, and for sending one response.
     std::chrono::milliseconds transfer_timeout{10000};
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -300,6 +300,71 @@
     BOOST_TEST(exchange("GET / HT").empty());
 }
 
+// Guards against bodies that together take more memory than the host has: each was within the limit
+// for one, but not all connections may have one open at the same time.
+BOOST_AUTO_TEST_CASE(bodies_beyond_what_the_server_holds_are_refused_until_others_have_ended)
+{
+    using boost::asio::ip::tcp;
+    background here;
+    http_server_settings settings;
+    settings.max_open_body_bytes = 1000;
+    http_server server(here.context, settings,
+                       [](const http_request& request, const http_responder& respond) {
+                           respond({200, std::to_string(request.body.size()), "text/plain", 0});
+                       });
+    boost::asio::io_context context;
+    const auto connect = [&]
+    {
+        tcp::socket socket(context);
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), server.port()});
+        return socket;
+    };
+    const auto send_text = [](tcp::socket& socket, const std::string& text)
+    { boost::asio::write(socket, boost::asio::buffer(text)); };
+    const auto status = [](tcp::socket& socket)
+    {
+        std::string reply(12, ' ');
+        boost::system::error_code code;
+        boost::asio::read(socket, boost::asio::buffer(reply), code);
+        return reply;
+    };
+    const auto header = [](std::size_t size)
+    { return "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n"; };
+    const std::string chunk = "c8\r\n" + std::string(200, 'x') + "\r\n";
+    const std::string chunked_header = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    auto slow = connect();
+    send_text(slow, header(900) + "x");
+    // The server has read the header above once it has answered this request.
+    auto small = connect();
+    send_text(small, header(100) + std::string(100, 'x'));
+    BOOST_TEST(status(small) == "HTTP/1.1 200");
+    auto second = connect();
+    send_text(second, header(900));
+    BOOST_TEST(status(second) == "HTTP/1.1 504");
+    auto chunked = connect();
+    send_text(chunked, chunked_header + chunk);
+    BOOST_TEST(status(chunked) == "HTTP/1.1 504");
+
+    send_text(slow, std::string(899, 'x'));
+    BOOST_TEST(status(slow) == "HTTP/1.1 200");
+    auto third = connect();
+    send_text(third, header(900) + std::string(900, 'x'));
+    BOOST_TEST(status(third) == "HTTP/1.1 200");
+    auto fourth = connect();
+    send_text(fourth, chunked_header + chunk + chunk + "0\r\n\r\n");
+    BOOST_TEST(status(fourth) == "HTTP/1.1 200");
+    // A body within the limit for one is not refused for being larger than the whole, and a request
+    // without a body is not refused beside it.
+    auto alone = connect();
+    send_text(alone, header(2000) + "x");
+    auto without_body = connect();
+    send_text(without_body, "GET / HTTP/1.1\r\n\r\n");
+    BOOST_TEST(status(without_body) == "HTTP/1.1 200");
+    send_text(alone, std::string(1999, 'x'));
+    BOOST_TEST(status(alone) == "HTTP/1.1 200");
+}
+
 BOOST_AUTO_TEST_CASE(the_http_client_distinguishes_unsent_requests_from_unanswered_ones)
 {
     background here;
