--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -5,6 +5,7 @@
 #include "io/daemon.hpp"
 #include "io/dump_json.hpp"
 #include "io/standin_server.hpp"
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -299,6 +300,71 @@
     BOOST_TEST(exchange("GET / HT").empty());
 }
 
+// Guards against bodies that together take more memory than the host has: each was within the limit
+// for one, but not all connections may have one open at the same time.
+BOOST_AUTO_TEST_CASE(bodies_beyond_what_the_server_holds_are_refused_until_others_have_ended)
+{
+    using boost::asio::ip::tcp;
+    background here;
+    http_server_settings settings;
+    settings.max_open_body_bytes = 1000;
+    http_server server(here.context, settings,
+                       [](const http_request& request, const http_responder& respond) {
+                           respond({200, std::to_string(request.body.size()), "text/plain", 0});
+                       });
+    boost::asio::io_context context;
+    const auto connect = [&]
+    {
+        tcp::socket socket(context);
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), server.port()});
+        return socket;
+    };
+    const auto send_text = [](tcp::socket& socket, const std::string& text)
+    { boost::asio::write(socket, boost::asio::buffer(text)); };
+    const auto status = [](tcp::socket& socket)
+    {
+        std::string reply(12, ' ');
+        boost::system::error_code code;
+        boost::asio::read(socket, boost::asio::buffer(reply), code);
+        return reply;
+    };
+    const auto header = [](std::size_t size)
+    { return "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n"; };
+    const std::string chunk = "c8\r\n" + std::string(200, 'x') + "\r\n";
+    const std::string chunked_header = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    auto slow = connect();
+    send_text(slow, header(900) + "x");
+    // The server has read the header above once it has answered this request.
+    auto small = connect();
+    send_text(small, header(100) + std::string(100, 'x'));
+    BOOST_TEST(status(small) == "HTTP/1.1 200");
+    auto second = connect();
+    send_text(second, header(900));
+    BOOST_TEST(status(second) == "HTTP/1.1 504");
+    auto chunked = connect();
+    send_text(chunked, chunked_header + chunk);
+    BOOST_TEST(status(chunked) == "HTTP/1.1 504");
+
+    send_text(slow, std::string(899, 'x'));
+    BOOST_TEST(status(slow) == "HTTP/1.1 200");
+    auto third = connect();
+    send_text(third, header(900) + std::string(900, 'x'));
+    BOOST_TEST(status(third) == "HTTP/1.1 200");
+    auto fourth = connect();
+    send_text(fourth, chunked_header + chunk + chunk + "0\r\n\r\n");
+    BOOST_TEST(status(fourth) == "HTTP/1.1 200");
+    // A body within the limit for one is not refused for being larger than the whole, and a request
+    // without a body is not refused beside it.
+    auto alone = connect();
+    send_text(alone, header(2000) + "x");
+    auto without_body = connect();
+    send_text(without_body, "GET / HTTP/1.1\r\n\r\n");
+    BOOST_TEST(status(without_body) == "HTTP/1.1 200");
+    send_text(alone, std::string(1999, 'x'));
+    BOOST_TEST(status(alone) == "HTTP/1.1 200");
+}
+
 BOOST_AUTO_TEST_CASE(the_http_client_distinguishes_unsent_requests_from_unanswered_ones)
 {
     background here;
@@ -314,6 +380,191 @@
     BOOST_TEST((unanswered.error().kind == error_kind::timed_out));
 }
 
+namespace
+{
+
+// Waits until `holds` returns true, at most 3 s. Returns what it returned last.
+bool holds_soon(const std::function<bool()>& holds)
+{
+    constexpr int tries = 300;
+    for (int i = 0; i < tries && !holds(); ++i)
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    return holds();
+}
+
+void respond_ok(const http_request&, const http_responder& respond)
+{
+    respond({200, "{}", "application/json", 0});
+}
+
+} // namespace
+
+// Guards against connections that stayed open for good, with their memory and descriptors: an idle
+// connection was closed only when the next request to the same address began.
+BOOST_AUTO_TEST_CASE(idle_connections_are_closed_though_no_further_request_is_sent)
+{
+    background here;
+    http_server server(here.context, {}, respond_ok);
+    http_client client(here.context, 3, milliseconds{100});
+    std::promise<unsigned> status;
+    client.send(call_to(server.port(), "GET", "/"), [&](const expected<http_reply>& reply)
+                { status.set_value(reply ? reply->status : 0); });
+    BOOST_TEST(status.get_future().get() == 200U);
+    BOOST_TEST(server.connections() == 1U);
+    BOOST_TEST(holds_soon([&] { return server.connections() == 0; }));
+}
+
+// Guards against memory that grows with each worker that was ever called: the state kept for an
+// address was never removed.
+BOOST_AUTO_TEST_CASE(addresses_without_connections_and_requests_are_forgotten)
+{
+    background here;
+    http_server server(here.context, {}, respond_ok);
+    http_client client(here.context, 3, milliseconds{100});
+    std::atomic<unsigned> refused{0};
+    std::atomic<unsigned> answered{0};
+    const auto count = [&](const expected<http_reply>& reply) { ++(reply ? answered : refused); };
+    constexpr std::uint16_t closed_ports = 20;
+    for (std::uint16_t port = 1; port <= closed_ports; ++port)
+        client.send(call_to(port, "GET", "/"), count);
+    client.send(call_to(server.port(), "GET", "/"), count);
+    BOOST_TEST(holds_soon([&] { return refused == closed_ports && answered == 1; }));
+    BOOST_TEST(holds_soon([&] { return client.addresses() == 0; }));
+}
+
+// Guards against a request that is lost because its address is forgotten at the same moment.
+BOOST_AUTO_TEST_CASE(requests_are_answered_while_their_addresses_are_forgotten)
+{
+    background here;
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 2; ++i)
+        threads.emplace_back([&] { here.context.run(); });
+    http_server server(here.context, {}, respond_ok);
+    std::atomic<unsigned> answered{0};
+    std::atomic<unsigned> failed{0};
+    constexpr unsigned rounds = 400;
+    {
+        http_client client(here.context, 2, milliseconds{1});
+        for (unsigned i = 0; i < rounds; ++i)
+        {
+            client.send(call_to(server.port(), "GET", "/"),
+                        [&](const expected<http_reply>& reply) { ++(reply ? answered : failed); });
+            std::this_thread::sleep_for(std::chrono::microseconds{500 + (i % 8) * 200});
+        }
+        BOOST_TEST(holds_soon([&] { return answered + failed == rounds; }));
+        BOOST_TEST(holds_soon([&] { return client.addresses() == 0; }));
+    }
+    BOOST_TEST(failed == 0U);
+    here.context.stop();
+    for (auto& thread : threads)
+        thread.join();
+}
+
+namespace
+{
+
+// A server that reads requests and doesn't answer them.
+struct silent_server
+{
+    boost::asio::io_context context{1};
+    std::vector<http_responder> open;
+    std::atomic<std::size_t> handled{0};
+    http_server server{context,
+                       {},
+                       [this](const http_request&, const http_responder& respond)
+                       {
+                           open.push_back(respond);
+                           ++handled;
+                       }};
+    std::thread thread{[this] { context.run(); }};
+    ~silent_server()
+    {
+        context.stop();
+        thread.join();
+    }
+};
+
+} // namespace
+
+// Guards against requests that outlive their time: a waiting request was refused only once a
+// connection became free, which took as long as the slowest open request.
+BOOST_AUTO_TEST_CASE(a_waiting_request_is_refused_as_soon_as_its_time_is_up)
+{
+    background here;
+    silent_server silent;
+    http_client client(here.context, 1);
+    std::promise<void> first_ended;
+    auto call = call_to(silent.server.port(), "POST", "/");
+    call.timeout = milliseconds{2500};
+    client.send(call, [&](const expected<http_reply>&) { first_ended.set_value(); });
+    std::promise<expected<http_reply>> waiting;
+    call.timeout = milliseconds{100};
+    const auto begin = std::chrono::steady_clock::now();
+    client.send(call, [&](expected<http_reply> reply) { waiting.set_value(std::move(reply)); });
+    const auto refused = waiting.get_future().get();
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < std::chrono::milliseconds{1500}));
+    BOOST_REQUIRE(!refused);
+    BOOST_TEST((refused.error().kind == error_kind::unreachable));
+    first_ended.get_future().wait();
+}
+
+// Guards against a queue that grows without a bound while a worker is silent.
+BOOST_AUTO_TEST_CASE(requests_beyond_the_longest_queue_are_refused_at_once_as_unsent)
+{
+    background here;
+    silent_server silent;
+    http_client client(here.context, 1);
+    constexpr std::size_t beyond = 10;
+    constexpr std::size_t sent = 1 + http_client::max_waiting_requests + beyond;
+    std::atomic<std::size_t> unsent{0};
+    std::atomic<std::size_t> unanswered{0};
+    auto call = call_to(silent.server.port(), "POST", "/");
+    call.timeout = milliseconds{2500};
+    const auto begin = std::chrono::steady_clock::now();
+    const auto count = [&](const expected<http_reply>& reply)
+    {
+        if (!reply)
+            ++(reply.error().kind == error_kind::unreachable ? unsent : unanswered);
+    };
+    for (std::size_t i = 0; i < sent; ++i)
+    {
+        client.send(call, count);
+        call.timeout = milliseconds{1500};
+    }
+    BOOST_TEST(holds_soon([&] { return unsent == beyond; }));
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < std::chrono::milliseconds{1000}));
+    BOOST_TEST(holds_soon([&] { return unsent + unanswered == sent; }));
+    BOOST_TEST(silent.handled == 1U);
+    BOOST_TEST(unanswered == 1U);
+}
+
+// Guards against a reply that takes more memory than the host has: 256 MB were accepted.
+BOOST_AUTO_TEST_CASE(a_reply_above_the_limit_is_not_accepted)
+{
+    background here;
+    constexpr std::size_t limit = 4096;
+    http_server server(here.context, {},
+                       [](const http_request& request, const http_responder& respond)
+                       {
+                           const auto size = limit + (request.path == "/larger" ? 1 : 0);
+                           respond({200, std::string(size, 'x'), "text/plain", 0});
+                       });
+    http_client client(here.context, 1, std::chrono::minutes{1}, limit);
+    const auto fetch = [&](const char* path)
+    {
+        std::promise<expected<http_reply>> ended;
+        client.send(call_to(server.port(), "GET", path),
+                    [&](expected<http_reply> reply) { ended.set_value(std::move(reply)); });
+        return ended.get_future().get();
+    };
+    const auto larger = fetch("/larger");
+    BOOST_REQUIRE(!larger);
+    BOOST_TEST((larger.error().kind == error_kind::timed_out)); // the request took effect
+    const auto largest = fetch("/");
+    BOOST_REQUIRE(largest);
+    BOOST_TEST(largest->body.size() == limit);
+}
+
 BOOST_AUTO_TEST_CASE(the_http_client_counts_connections_and_waiting_requests)
 {
     background thread;
