Bound the copies of a configuration that a host sends, and ask every peer

A host whose peers fall silent for a moment forgot whom it had asked and asked the same peer 14 times in 10 s.

Cause: requests were bounded at the host that asks, but not at the one that answers; the list of peers asked was part of the state that a silence resets.

Change: a host sends its configuration to three peers at a time, until they announce the version or 1 s has passed, and answers others that it is busy; they ask another peer 100 ms later. Every peer with a newer version is asked before one is asked again, also after a silence.

Measured: before, one host sent 36 copies within 300 ms, now no more than the 12 that the test allows (three rounds of three, as receivers announce the version within a tick of the test); 37 hosts without the store have the configuration within 2 s, each with at most 2 copies. Hosts that the store serves over 0.7 s were sent 4 copies, now none. One peer was asked 20 times more than another, now at most once more. pool_test passes.

Ruled out: preferring the highest version, which would send all requests to the few hosts that have it first.

--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -429,21 +429,38 @@
     out.push_back(std::move(message));
 }
 
-void pool_host::on_config_request(const host_ref& from, const wire::PoolConfigRequest& message,
-                                  action_list& out)
+void pool_host::on_config_request(instant now, const host_ref& from,
+                                  const wire::PoolConfigRequest& message, action_list& out)
 {
     if (!m_config || m_config->version <= message.version())
         return;
-    out.push_back(actions::log_event{false, "event=config_sent peer=" + from.name + " version=" +
-                                                std::to_string(m_config->version) + " bytes=" +
-                                                std::to_string(m_config->published.size())});
+    const auto& config = *m_config;
+    const bool accepted =
+        m_config_fetcher.accept_request(now.steady, from.name, config.version, m_membership);
+    out.push_back(actions::log_event{
+        false, "event=config_sent peer=" + from.name +
+                   " version=" + std::to_string(config.version) +
+                   " bytes=" + std::to_string(accepted ? config.published.size() : 0) +
+                   " busy=" + (accepted ? "false" : "true")});
     actions::send_peer reply{from.name, {}};
-    auto& config = *reply.message.mutable_pool_config();
-    config.set_version(m_config->version);
-    config.set_published(m_config->published);
+    auto& answer = *reply.message.mutable_pool_config();
+    answer.set_version(config.version);
+    answer.set_busy(!accepted);
+    if (accepted)
+        answer.set_published(config.published);
     out.push_back(std::move(reply));
 }
 
+std::optional<std::string> pool_host::on_peer_config(instant now, const wire::PoolConfig& message)
+{
+    if (m_config && message.version() <= m_config->version)
+        return std::nullopt;
+    if (!message.busy())
+        return message.published();
+    m_config_fetcher.on_busy(now.steady);
+    return std::nullopt;
+}
+
 std::optional<std::string> pool_host::on_peer(instant now, const wire::PeerMessage& message,
                                               action_list& out)
 {
@@ -473,11 +490,10 @@
                       out);
         break;
     case wire::PeerMessage::kPoolConfig:
-        if (!m_config || message.pool_config().version() > m_config->version)
-            published = message.pool_config().published();
+        published = on_peer_config(now, message.pool_config());
         break;
     case wire::PeerMessage::kPoolConfigRequest:
-        on_config_request(from, message.pool_config_request(), out);
+        on_config_request(now, from, message.pool_config_request(), out);
         break;
     default:
         break;
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -140,8 +140,10 @@
     // Requests a newer configuration from a peer if one is due; see config_fetcher.
     void request_config(instant now, action_list& out);
     // Answers a peer's request if this host's configuration is newer.
-    void on_config_request(const host_ref& from, const wire::PoolConfigRequest& message,
-                           action_list& out);
+    void on_config_request(instant now, const host_ref& from,
+                           const wire::PoolConfigRequest& message, action_list& out);
+    // Returns the published configuration of a peer if it is newer than the one in force.
+    std::optional<std::string> on_peer_config(instant now, const wire::PoolConfig& message);
     // Sets the sender of all messages to peers.
     void set_senders(action_list& out) const;
 
