Read peers' messages within a bound, and handle them in small batches

Cause: the bus's handler posted each message to the io_context. The bus reads eagerly, so neither ZeroMQ's marks nor TCP ever pushed back, and a caller's request or a timer waited behind all messages posted before it.

The bus's handler returns false at the inbox's bound; the bus then does not read until resume_receiving(), and handles commands meanwhile. It also handles commands after 96 messages, not only once nothing is left to read. egretd's handler always returns true and behaves as before. Two counters, peer_heartbeats_superseded and peer_reading_pauses.

Ruled out: a call of the bus from its own handler to stop it, which could run before the bus is constructed.

--- a/src/io/daemon.cpp
+++ b/src/io/daemon.cpp
@@ -90,6 +90,7 @@
                 post_to_logic([message = std::move(message)](node& logic, instant now,
                                                              action_list& out) mutable
                               { logic.on_peer(now, std::move(message), out); });
+                return true;
             }),
       m_server(m_io_context, m_settings.http,
                [this](http_request request, responder respond)
--- a/src/io/edge_metrics.cpp
+++ b/src/io/edge_metrics.cpp
@@ -77,7 +77,9 @@
 constexpr std::array process_count_rows{
     process_count_row{"store_calls", &process_counts::store_calls},
     process_count_row{"peer_messages_dropped", &process_counts::peer_messages_dropped},
-    process_count_row{"log_lines_dropped", &process_counts::log_lines_dropped}};
+    process_count_row{"log_lines_dropped", &process_counts::log_lines_dropped},
+    process_count_row{"peer_heartbeats_superseded", &process_counts::peer_heartbeats_superseded},
+    process_count_row{"peer_reading_pauses", &process_counts::peer_reading_pauses}};
 
 struct gauge_row
 {
--- a/src/io/edge_metrics.hpp
+++ b/src/io/edge_metrics.hpp
@@ -34,6 +34,8 @@
     std::uint64_t store_calls = 0;
     std::uint64_t peer_messages_dropped = 0;
     std::uint64_t log_lines_dropped = 0;
+    std::uint64_t peer_heartbeats_superseded = 0;
+    std::uint64_t peer_reading_pauses = 0;
 };
 
 class edge_metrics
--- a/src/io/peer_bus.cpp
+++ b/src/io/peer_bus.cpp
@@ -2,10 +2,15 @@
 //
 //   - a ROUTER that receives the peers' messages,
 //   - a DEALER for each peer that sends to it,
-//   - a PULL that receives the commands of other threads (send, set an address, stop),
+//   - a PULL that receives the commands of other threads (send, set an address, resume, stop),
 //   - a REP that answers ZeroMQ's authentication requests (ZAP, RFC 27).
 //
 // Other threads share one PUSH socket under a mutex, which is held while one message is copied.
+//
+// While the handler wants no messages, the thread does not read the ROUTER and handles commands as
+// before. ZeroMQ reads on up to the high water mark of each peer, then TCP pushes back on the
+// peer, whose own mark then bounds what it keeps. The resume command is sent after the handler has
+// returned false, so it is read after the pause has begun and cannot be missed.
 
 #include "io/peer_bus.hpp"
 #include <array>
@@ -24,6 +29,9 @@
 constexpr const char* zap_endpoint = "inproc://zeromq.zap.01";
 constexpr int high_water_mark = 20000; // messages
 constexpr std::chrono::milliseconds poll_timeout{100};
+// Messages read before commands are handled, so that a flood does not delay what this host sends:
+// one of each of 96 peers.
+constexpr int max_receive_batch = 96;
 constexpr int min_reconnect_interval_ms = 50;
 // A restarted host is reconnected within one heartbeat interval.
 constexpr int max_reconnect_interval_ms = 100;
@@ -36,6 +44,7 @@
 // The first part of a command message from another thread.
 constexpr std::string_view command_send = "send";
 constexpr std::string_view command_address = "address";
+constexpr std::string_view command_resume = "resume";
 constexpr std::string_view command_stop = "stop";
 
 std::string part_to_string(const zmq::message_t& part)
@@ -117,6 +126,12 @@
     parts.send(m_sockets->command_sender);
 }
 
+void peer_bus::resume_receiving()
+{
+    const std::lock_guard lock(m_sockets->command_mutex);
+    m_sockets->command_sender.send(zmq::buffer(command_resume), zmq::send_flags::none);
+}
+
 namespace
 {
 
@@ -182,10 +197,13 @@
         socket.connect(address->second);
         return &s.senders.emplace(host, std::move(socket)).first->second;
     };
+    bool paused = false;
     const auto receive_messages = [&]
     {
         zmq::multipart_t message;
-        while (message.recv(s.receiver, ZMQ_DONTWAIT))
+        for (int received = 0;
+             !paused && received < max_receive_batch && message.recv(s.receiver, ZMQ_DONTWAIT);
+             ++received)
         {
             wire::PeerMessage peer_message;
             auto body = message.remove();
@@ -200,7 +218,11 @@
                 ++m_refused;
                 continue;
             }
-            m_handler(std::move(peer_message));
+            if (!m_handler(std::move(peer_message)))
+            {
+                paused = true;
+                ++m_pauses;
+            }
         }
     };
     // Returns false on the stop command.
@@ -212,6 +234,11 @@
             const auto command_name = part_to_string(message[0]);
             if (command_name == command_stop)
                 return false;
+            if (command_name == command_resume)
+            {
+                paused = false;
+                continue;
+            }
             const auto host = part_to_string(message[1]);
             if (command_name == command_address)
             {
@@ -239,6 +266,7 @@
         items.push_back({s.zap->handle(), 0, ZMQ_POLLIN, 0});
     for (;;)
     {
+        items[0].events = paused ? short{0} : short{ZMQ_POLLIN};
         zmq::poll(items, poll_timeout);
         receive_messages();
         if (!handle_commands())
--- a/src/io/peer_bus.hpp
+++ b/src/io/peer_bus.hpp
@@ -32,7 +32,10 @@
 class peer_bus
 {
 public:
-    using handler = std::function<void(wire::PeerMessage)>;
+    // Takes a received message. Returns false if the bus should read no further message until
+    // resume_receiving(); the messages then wait in the sockets of both hosts, within their high
+    // water marks.
+    using handler = std::function<bool(wire::PeerMessage)>;
 
     // Starts to listen before it returns. Throws std::runtime_error if the address cannot be bound.
     // The handler runs on the bus's own thread.
@@ -41,10 +44,12 @@
 
     // Returns the bound address as tcp://IP:PORT.
     const std::string& endpoint() const { return m_endpoint; }
-    // Sets the address at which a host listens; an empty address removes the host. This function
-    // and send() are thread-safe.
+    // Sets the address at which a host listens; an empty address removes the host. This function,
+    // send() and resume_receiving() are thread-safe.
     void set_address(const std::string& host, const std::string& address);
     void send(const std::string& host, const wire::PeerMessage& message);
+    // Continues to read messages after the handler has returned false.
+    void resume_receiving();
 
     // Returns the number of messages dropped because the peer was not connected, its send queue was
     // full, or a received message could not be parsed.
@@ -53,6 +58,8 @@
     // did not match the connection's key.
     std::uint64_t refused() const { return m_refused; }
     std::uint64_t bytes_sent() const { return m_bytes_sent; }
+    // Returns how often the handler has made the bus stop reading.
+    std::uint64_t pauses() const { return m_pauses; }
 
 private:
     struct sockets;
@@ -65,6 +72,7 @@
     std::atomic<std::uint64_t> m_dropped{0};
     std::atomic<std::uint64_t> m_refused{0};
     std::atomic<std::uint64_t> m_bytes_sent{0};
+    std::atomic<std::uint64_t> m_pauses{0};
     std::thread m_thread;
 };
 
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -52,10 +52,12 @@
     job.steps.back().count = 1;
     host.on_job({10s, 1000ms}, 1, job, out);
     BOOST_TEST(has_line(metrics.text(host, {10s, 1000ms}, {}), calls(1)));
-    const auto text = metrics.text(host, {10s, 1000ms}, {true, 7, 2, 5});
+    const auto text = metrics.text(host, {10s, 1000ms}, {true, 7, 2, 5, 11, 3});
     BOOST_TEST(has_line(text, calls(1)));
     BOOST_TEST(has_line(text, R"(egretledge_events_total{kind="store_calls"} 7)"));
     BOOST_TEST(has_line(text, R"(egretledge_events_total{kind="log_lines_dropped"} 5)"));
+    BOOST_TEST(has_line(text, R"(egretledge_events_total{kind="peer_heartbeats_superseded"} 11)"));
+    BOOST_TEST(has_line(text, R"(egretledge_events_total{kind="peer_reading_pauses"} 3)"));
     BOOST_TEST(has_line(text, "egretledge_store_reachable 1"));
 }
 
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -396,6 +396,7 @@
             const std::lock_guard lock(guard);
             seen.push_back(message.from().name());
             arrived.notify_all();
+            return true;
         });
     const auto make_sender = [&](const key_pair& keys)
     {
@@ -403,7 +404,7 @@
                                                                    keys.public_key.data(),
                                                                    keys.secret.data(),
                                                                    {{"a", a.public_key.data()}}},
-                                                 [](const wire::PeerMessage&) {});
+                                                 [](const wire::PeerMessage&) { return true; });
         sender->set_address("a", receiver.endpoint());
         return sender;
     };
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -2,12 +2,16 @@
 #include "io/edge_settings.hpp"
 #include "io/http_server.hpp"
 #include "io/log_budget.hpp"
+#include "io/peer_bus.hpp"
+#include "io/peer_delivery.hpp"
 #include "platform/store_client.hpp"
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 #include <fstream>
 #include <random>
+#include <thread>
 
 using namespace egretledge;
 using namespace egretledge::platform;
@@ -439,3 +443,105 @@
     BOOST_TEST(budget.take_dropped() == 15000U - static_cast<unsigned>(written));
     BOOST_TEST(budget.take_dropped() == 0U);
 }
+
+namespace
+{
+
+// Returns a message that no later one replaces.
+wire::PeerMessage numbered_message(const std::string& from, std::uint64_t number)
+{
+    wire::PeerMessage message;
+    message.mutable_from()->set_name(from);
+    message.mutable_from()->set_incarnation(1);
+    message.mutable_pool_cancel()->set_offer(number);
+    return message;
+}
+
+// Repeats `step` until it returns true, for at most 20 s. Returns whether it did.
+bool wait_until(const std::function<bool()>& step)
+{
+    const auto give_up_at = std::chrono::steady_clock::now() + std::chrono::seconds{20};
+    while (!step())
+    {
+        if (std::chrono::steady_clock::now() > give_up_at)
+            return false;
+        std::this_thread::sleep_for(std::chrono::milliseconds{5});
+    }
+    return true;
+}
+
+} // namespace
+
+// A caller's request waited until hundreds of messages of other hosts had been handled.
+BOOST_AUTO_TEST_CASE(other_events_run_between_the_messages_of_a_backlog)
+{
+    boost::asio::io_context context{1};
+    std::size_t handled = 0;
+    peer_delivery delivery(
+        context, {}, [&](const wire::PeerMessage&) { ++handled; }, [] {});
+    for (std::uint64_t number = 0; number < 400; ++number)
+        BOOST_TEST(delivery.push(numbered_message("h" + std::to_string(number % 20), number)));
+    std::size_t handled_before = 0;
+    boost::asio::post(context, [&] { handled_before = handled; });
+    context.run();
+    BOOST_TEST(handled_before <= peer_delivery_settings{}.max_batch);
+    BOOST_TEST(handled == 400U);
+}
+
+// A process that was short of processor time kept all that its peers sent, and its peers did not
+// notice. It must stop reading at a bound, send its own messages meanwhile, and read on later.
+BOOST_AUTO_TEST_CASE(a_busy_process_stops_reading_and_still_sends)
+{
+    constexpr std::size_t max_messages = 20;
+    constexpr std::uint64_t total = 2000;
+    boost::asio::io_context context{1};
+    std::vector<std::uint64_t> handled;
+    std::atomic<std::size_t> answers{0};
+    std::optional<peer_bus> bus;
+    peer_delivery_settings settings;
+    settings.inbox.max_messages = max_messages;
+    peer_delivery delivery(
+        context, settings,
+        [&](const wire::PeerMessage& message) { handled.push_back(message.pool_cancel().offer()); },
+        [&] { bus->resume_receiving(); });
+    bus.emplace(peer_bus_settings{},
+                [&](wire::PeerMessage message) { return delivery.push(std::move(message)); });
+    peer_bus peer({},
+                  [&](const wire::PeerMessage&)
+                  {
+                      ++answers;
+                      return true;
+                  });
+    peer.set_address("busy", bus->endpoint());
+    bus->set_address("peer", peer.endpoint());
+    // The connection is up once a message has arrived.
+    BOOST_TEST(wait_until(
+        [&]
+        {
+            peer.send("busy", numbered_message("peer", 0));
+            bus->send("peer", numbered_message("busy", 0));
+            return delivery.waiting() > 0 && answers > 0;
+        }));
+    const auto before = answers.load();
+    for (std::uint64_t number = 1; number <= total; ++number)
+        peer.send("busy", numbered_message("peer", number));
+    BOOST_TEST(wait_until([&] { return bus->pauses() > 0; }));
+    bus->send("peer", numbered_message("busy", 1));
+    BOOST_TEST(wait_until([&] { return answers > before; }));
+    BOOST_TEST(delivery.waiting() == max_messages);
+
+    BOOST_TEST(wait_until(
+        [&]
+        {
+            context.restart();
+            context.poll();
+            BOOST_TEST(delivery.waiting() <= max_messages + 1);
+            return !handled.empty() && handled.back() == total;
+        }));
+    std::uint64_t expected = 0;
+    for (const auto number : handled)
+        if (number > 0)
+            BOOST_TEST(number == ++expected);
+    BOOST_TEST(expected == total);
+    bus.reset();
+}
