--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -431,6 +431,100 @@
     BOOST_TEST(receiver.refused() > 0U);
 }
 
+// What a host kept for a peer that does not read was bounded only by 20,000 messages. It must be
+// bounded by the mark, the excess counted, and the peer must be served again once it reads on.
+BOOST_AUTO_TEST_CASE(a_peer_that_does_not_read_is_sent_no_more_than_both_marks)
+{
+    constexpr int mark = 10;
+    constexpr std::uint64_t total = 300;
+    constexpr std::size_t message_bytes = 64 * 1024;
+    // The kernel's buffers hold twice their size each, and each side's ZeroMQ up to two messages.
+    constexpr std::uint64_t max_accepted_by_connection = 2 * mark + 4 + 4;
+    constexpr std::chrono::milliseconds connection_timeout{900};
+    std::atomic<bool> reads{true};
+    std::atomic<std::uint64_t> received{0};
+    std::atomic<std::uint64_t> last_received{0};
+    peer_bus_settings settings;
+    settings.max_waiting_messages = mark;
+    settings.socket_buffer_bytes = message_bytes;
+    peer_bus receiver(settings,
+                      [&](const wire::PeerMessage& message)
+                      {
+                          ++received;
+                          last_received = message.heartbeat().sequence();
+                          return reads.load();
+                      });
+    peer_bus sender(settings, [](const wire::PeerMessage&) { return true; });
+    sender.set_address("a", receiver.endpoint());
+    const auto wait_until = [](const std::function<bool()>& step)
+    {
+        const auto give_up_at = std::chrono::steady_clock::now() + std::chrono::seconds{20};
+        while (!step())
+        {
+            if (std::chrono::steady_clock::now() > give_up_at)
+                return false;
+            std::this_thread::sleep_for(std::chrono::milliseconds{10});
+        }
+        return true;
+    };
+    const auto send = [&](std::uint64_t sequence, std::size_t bytes)
+    {
+        auto message = message_from("b");
+        message.mutable_heartbeat()->set_sequence(sequence);
+        message.mutable_from()->set_name(std::string(bytes, 'b'));
+        sender.send("a", message);
+    };
+    // A message to a peer that is not connected yet is dropped.
+    BOOST_TEST(wait_until(
+        [&]
+        {
+            send(1, 1);
+            return received > 0;
+        }));
+    reads = false;
+    BOOST_TEST(wait_until(
+        [&]
+        {
+            send(1, 1);
+            return receiver.pauses() > 0;
+        }));
+    const auto dropped_before = sender.dropped();
+    const auto bytes_before = sender.bytes_sent();
+    const auto begin = std::chrono::steady_clock::now();
+    for (std::uint64_t sequence = 2; sequence < 2 + total; ++sequence)
+        send(sequence, message_bytes);
+    std::uint64_t accepted = 0;
+    BOOST_TEST(wait_until(
+        [&]
+        {
+            accepted = (sender.bytes_sent() - bytes_before) / message_bytes;
+            return accepted + sender.dropped() - dropped_before == total;
+        }));
+    // A connection without an answer for this long is replaced, which matters if the test is slow.
+    const auto connections =
+        1 +
+        static_cast<std::uint64_t>((std::chrono::steady_clock::now() - begin) / connection_timeout);
+    const auto max_accepted = connections * max_accepted_by_connection;
+    BOOST_TEST_MESSAGE("accepted " << accepted << " of " << total << " by " << connections
+                                   << " connections");
+    BOOST_TEST(accepted >= static_cast<std::uint64_t>(mark));
+    BOOST_TEST(accepted <= max_accepted);
+    BOOST_TEST(sender.dropped() - dropped_before >= total - max_accepted);
+
+    // Longer than ZeroMQ's heartbeat timeout: the connection may have been replaced meanwhile.
+    std::this_thread::sleep_for(std::chrono::milliseconds{2500});
+    const auto received_before = received.load();
+    reads = true;
+    receiver.resume_receiving();
+    BOOST_TEST(wait_until(
+        [&]
+        {
+            send(2 + total, 1);
+            return last_received == 2 + total;
+        }));
+    BOOST_TEST_MESSAGE("received after the pause: " << received - received_before);
+}
+
 BOOST_AUTO_TEST_CASE(the_command_line_reports_faults_by_exit_code_and_message)
 {
     std::ostringstream out;
