List withdrawn offers in heartbeats for 1.4 s at most

Cause: a heartbeat listed each withdrawn offer until the receiver echoed it, for up to 30 s. A job whose pool is silent is offered again each 100 ms and each offer withdraws the one before, so the list has no bound.

Change: max_withdrawal_age, twice caller_host_timeout. A pool cancels all jobs of a host 0.7 s after it sent the latest heartbeat that the host has echoed. If it has handled no heartbeat sent after the withdrawal, that heartbeat was sent before the withdrawal, so 1.4 s later the job is gone, also after a pause, since overdue timers run before a message is handled. An offer that arrives later is declined as not heard or as overtaken.

Looked at as well: unread is a part of held; held is at most what the host holds; started is cut at 4,096 (32 KB); known is sent for 0.3 s. The test bounds a heartbeat at 40 KB to a receiver that never echoes.

--- a/src/pool/membership.cpp
+++ b/src/pool/membership.cpp
@@ -131,7 +131,9 @@
         heartbeat.add_unread(worker);
     if (own_state.started != nullptr)
         own_state.started->announce(to.echo_sent, *heartbeat.mutable_started());
-    while (!to.withdrawn.empty() && to.withdrawn.front().first < to.echo_sent)
+    while (!to.withdrawn.empty() &&
+           (to.withdrawn.front().first < to.echo_sent ||
+            now - to.withdrawn.front().first > m_settings.max_withdrawal_age))
         to.withdrawn.pop_front();
     for (const auto& [when, offer] : to.withdrawn)
         heartbeat.add_withdrawn(offer);
--- a/src/pool/membership.hpp
+++ b/src/pool/membership.hpp
@@ -10,7 +10,8 @@
 //
 // A heartbeat also lists the offers of jobs that its sender has withdrawn, until a heartbeat that
 // listed them has been echoed. A pool keeps a job only while new heartbeats of the caller's host
-// arrive, and each of these carries the withdrawal.
+// arrive, and each of these carries the withdrawal. After `max_withdrawal_age` a pool that has
+// heard none of them has cancelled the job by itself.
 
 #include "pool/started_jobs.hpp"
 #include <deque>
@@ -35,6 +36,10 @@
     // Time without an echo after which a caller's host counts as disconnected. A caller
     // retries 1.3 s after its connection broke.
     milliseconds caller_host_timeout{700};
+    // A withdrawn offer is listed for at most this long. A pool that has handled no heartbeat which
+    // listed it has cancelled the job `caller_host_timeout` after the withdrawal, and declines the
+    // offer if it arrives later; the same again allows for its timers and clock.
+    milliseconds max_withdrawal_age{1400};
     // A silent peer is sent every heartbeat for this long after its introduction or its own last
     // heartbeat; after that, one heartbeat per `silent_heartbeat_interval`.
     milliseconds eager_period{3000};
@@ -85,7 +90,7 @@
     std::uint64_t echoed_held = 0; // version of this host's `held` that the peer has
     microseconds next_heartbeat{0};
     // Offers that this host has withdrawn, with the time, until the peer echoes a heartbeat that
-    // listed them.
+    // listed them or `max_withdrawal_age` has passed.
     std::deque<std::pair<microseconds, std::uint64_t>> withdrawn;
 };
 
--- a/tests/pool_offers_test.cpp
+++ b/tests/pool_offers_test.cpp
@@ -269,6 +269,30 @@
         });
 }
 
+// Guards against two runs of one task: a cancellation is lost in a cut, or while the pool is
+// paused, that lasts until heartbeats no longer list the withdrawn offer.
+BOOST_AUTO_TEST_CASE(a_pool_that_heard_no_withdrawal_in_time_has_cancelled_the_job_by_itself)
+{
+    for (const bool paused : {false, true})
+        for_each_silence(
+            [&](pool_simulation& sim, const silence_case& scenario)
+            {
+                const auto retry_delay = 1300ms;
+                const auto cut =
+                    membership_settings{}.max_withdrawal_age + scenario.silence - 450ms;
+                sim.submit(scenario.caller, "order", 2, usual_task, 2500ms);
+                sim.run_until(sim.now() + 200ms);
+                sim.cut_hosts(scenario.pool, scenario.caller, true);
+                if (paused)
+                    sim.freeze_host(scenario.pool, cut);
+                sim.disconnect_caller("order");
+                sim.run_until(sim.now() + retry_delay);
+                sim.submit(4, "order", 2, usual_task, 2500ms);
+                sim.run_until(sim.now() + cut - retry_delay);
+                sim.cut_hosts(scenario.pool, scenario.caller, false);
+            });
+}
+
 // A pool whose heartbeats resume in time may still have the job, even while it is stopping. The job
 // is offered to no other pool before this one has answered.
 BOOST_AUTO_TEST_CASE(a_job_stays_with_a_pool_heard_again_until_that_pool_declines_it)
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -627,6 +627,54 @@
     BOOST_TEST(hosts.has_caught_up(at_ms(8460)));
 }
 
+// Guards against heartbeats that grow while their receiver does not echo: withdrawn offers were
+// listed for as long as it took.
+BOOST_AUTO_TEST_CASE(a_heartbeat_stays_small_while_its_receiver_does_not_echo)
+{
+    constexpr std::size_t max_bytes = 40'000; // 4,096 hashes of 8 bytes, and all else
+    membership_settings settings;
+    settings.self = {"h1", 1};
+    settings.address = "h1";
+    membership hosts(settings);
+    started_jobs started{{}};
+    membership::announcement state;
+    state.started = &started;
+    for (int worker = 0; worker < 24; ++worker)
+        state.held.push_back("i-0042bdca7" + std::to_string(worker));
+    state.unread = state.held;
+    std::uint64_t offers = 0;
+    std::uint64_t heard = 0;
+    std::size_t largest = 0;
+    for (std::int64_t ms = 1000; ms < 30'000; ms += 20)
+    {
+        const auto now = at_ms(ms);
+        action_list out;
+        wire::PoolBeat heartbeat;
+        heartbeat.set_sequence(++heard);
+        heartbeat.set_address("h2");
+        hosts.on_heartbeat(now, {"h2", 1}, heartbeat, out);
+        for (int job = 0; job < 20; ++job)
+            started.record(now, std::to_string(ms) + "." + std::to_string(job));
+        for (int withdrawn = 0; withdrawn < 2; ++withdrawn)
+            hosts.withdraw(now, {"h2", 1}, ++offers);
+        hosts.tick(
+            now, [&] { return state; }, out);
+        for (const auto& action : out)
+            if (const auto* sent = std::get_if<actions::send_peer>(&action))
+            {
+                const auto& beat = sent->message.pool_beat();
+                largest = std::max(largest, sent->message.ByteSizeLong());
+                // Those of the last `max_withdrawal_age` are all listed, the oldest first.
+                const auto expected = std::min<std::uint64_t>(
+                    offers, 2 * (settings.max_withdrawal_age / milliseconds{20} + 1));
+                BOOST_REQUIRE(static_cast<std::uint64_t>(beat.withdrawn_size()) == expected);
+                BOOST_TEST(beat.withdrawn(0) == offers - expected + 1);
+            }
+    }
+    BOOST_TEST(largest > 32'000U);
+    BOOST_TEST(largest < max_bytes);
+}
+
 // Guards against a retry loop, seen on trouble-1 of kalinaw-egret: the entries of crashed workers
 // were acquired 25 times a second.
 BOOST_AUTO_TEST_CASE(a_terminated_worker_is_not_acquired_until_it_restarts)
