Skip known hosts before looking for their address

Cause: each heartbeat of a host that has just become alive lists all others, and for each entry introduce() compared the address with those of all peers, though most entries are known with this address.

Change: such entries return first. The result is the same: with the name and address known, the function had no effect.

--- a/src/io/peer_delivery.hpp
+++ b/src/io/peer_delivery.hpp
@@ -16,9 +16,8 @@
 struct peer_delivery_settings
 {
     pool::peer_inbox_settings inbox;
-    // Maximum number of messages handled before other events run. A heartbeat of a host that lists
-    // 96 others takes 0.08 ms of processor time, so that a batch takes 11 ms at 0.12 cores: half
-    // the interval between two ticks.
+    // Maximum number of messages handled before other events run: 16 heartbeats of hosts that list
+    // 96 others take 0.3 ms of processor time, 2 ms at 0.12 cores, a tenth of the tick interval.
     std::size_t max_batch = 16;
 };
 
--- a/src/pool/membership.cpp
+++ b/src/pool/membership.cpp
@@ -23,12 +23,14 @@
 {
     if (name == m_settings.self.name || address == m_settings.address || address.empty())
         return;
+    // A heartbeat of a host that has just started lists all hosts, and most are known.
+    const auto same = m_peers.find(name);
+    if (same != m_peers.end() && same->second.address == address)
+        return;
     for (const auto& [known, host] : m_peers)
         if (host.address == address && known != name && host.last_heard.count() >= 0)
             return;
     auto& host = m_peers[name];
-    if (host.address == address)
-        return;
     host.address = address;
     host.introduced_at = now;
     out.push_back(actions::set_peer_address{name, address});
