--- a/src/io/peer_bus.hpp
+++ b/src/io/peer_bus.hpp
@@ -27,12 +27,24 @@
     std::string public_key;
     std::string secret_key;
     std::map<std::string, std::string> peer_keys; // host -> public key
+    // ZeroMQ's high water mark: the maximum number of messages that wait for each peer, and again
+    // the maximum received from each peer that have not been read. Those above it are dropped where
+    // they are sent. The default is for hosts with gigabytes of memory. If a bus does not read for
+    // longer than ZeroMQ's heartbeat timeout (0.9 s) and a peer's mark is reached, the peer
+    // replaces its connection, which may fill the marks again.
+    int max_waiting_messages = 20000;
+    // Size of the kernel's buffer for each peer in each direction, which counts towards the memory
+    // of a container; Linux doubles the value. -1: as the system chooses.
+    int socket_buffer_bytes = -1;
 };
 
 class peer_bus
 {
 public:
-    using handler = std::function<void(wire::PeerMessage)>;
+    // Takes a received message. Returns false if the bus should read no further message until
+    // resume_receiving(); the messages then wait in the sockets of both hosts, within their high
+    // water marks.
+    using handler = std::function<bool(wire::PeerMessage)>;
 
     // Starts to listen before it returns. Throws std::runtime_error if the address cannot be bound.
     // The handler runs on the bus's own thread.
@@ -41,10 +53,12 @@
 
     // Returns the bound address as tcp://IP:PORT.
     const std::string& endpoint() const { return m_endpoint; }
-    // Sets the address at which a host listens; an empty address removes the host. This function
-    // and send() are thread-safe.
+    // Sets the address at which a host listens; an empty address removes the host. This function,
+    // send() and resume_receiving() are thread-safe.
     void set_address(const std::string& host, const std::string& address);
     void send(const std::string& host, const wire::PeerMessage& message);
+    // Continues to read messages after the handler has returned false.
+    void resume_receiving();
 
     // Returns the number of messages dropped because the peer was not connected, its send queue was
     // full, or a received message could not be parsed.
@@ -53,6 +67,8 @@
     // did not match the connection's key.
     std::uint64_t refused() const { return m_refused; }
     std::uint64_t bytes_sent() const { return m_bytes_sent; }
+    // Returns how often the handler has made the bus stop reading.
+    std::uint64_t pauses() const { return m_pauses; }
 
 private:
     struct sockets;
@@ -65,6 +81,7 @@
     std::atomic<std::uint64_t> m_dropped{0};
     std::atomic<std::uint64_t> m_refused{0};
     std::atomic<std::uint64_t> m_bytes_sent{0};
+    std::atomic<std::uint64_t> m_pauses{0};
     std::thread m_thread;
 };
 
