--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -436,9 +436,8 @@
 BOOST_AUTO_TEST_CASE(requests_are_answered_while_their_addresses_are_forgotten)
 {
     background here;
-    std::vector<std::thread> threads;
-    for (int i = 0; i < 2; ++i)
-        threads.emplace_back([&] { here.context.run(); });
+    std::thread threads[] = {std::thread([&] { here.context.run(); }),
+                             std::thread([&] { here.context.run(); })};
     http_server server(here.context, {}, respond_ok);
     std::atomic<unsigned> answered{0};
     std::atomic<unsigned> failed{0};
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -2,13 +2,19 @@
 #include "io/edge_settings.hpp"
 #include "io/http_server.hpp"
 #include "io/log_budget.hpp"
+#include "io/logging.hpp"
 #include "io/peer_bus.hpp"
 #include "io/peer_delivery.hpp"
+#include "platform/edge_daemon.hpp"
 #include "platform/store_client.hpp"
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
+#include <csignal>
 #include <fstream>
 #include <random>
 #include <thread>
@@ -145,6 +151,126 @@
     BOOST_TEST(store.calls.size() < 60U);
 }
 
+namespace
+{
+
+// An entry host with a store, each on a thread of its own. SIGTERM ends the host.
+struct running_host
+{
+    non_waking_store store;
+    edge_settings settings;
+    std::unique_ptr<edge_daemon> daemon;
+    std::thread store_thread;
+    std::thread daemon_thread;
+
+    explicit running_host(const std::string& config)
+    {
+        store.published = config;
+        store.end = 1;
+        settings.name = "edge-1";
+        settings.data_centre = "z";
+        settings.peers = "tcp://127.0.0.1:0";
+        settings.store = "127.0.0.1:" + std::to_string(store.server.port());
+        settings.stop_timeout = milliseconds{500};
+        start_logging("error");
+        // Ports below those that the system gives to outgoing connections; taken ones are skipped.
+        for (int port = 22000; !daemon && port < 23000; port += 2)
+            try
+            {
+                settings.callers = "127.0.0.1:" + std::to_string(port);
+                settings.readiness = "127.0.0.1:" + std::to_string(port + 1);
+                daemon = std::make_unique<edge_daemon>(settings);
+            }
+            catch (const boost::system::system_error&)
+            {
+            }
+        BOOST_REQUIRE(daemon != nullptr);
+        store_thread = std::thread([this] { store.context.run(); });
+        daemon_thread = std::thread([this] { daemon->run(); });
+    }
+    ~running_host()
+    {
+        std::raise(SIGTERM);
+        daemon_thread.join();
+        store.context.stop();
+        store_thread.join();
+    }
+
+    // Returns the status of the answer, or 0 if there was none.
+    static unsigned status_of(const std::string& address, const std::string& method,
+                              const std::string& target, const std::string& body = {})
+    {
+        http_call call;
+        call.address = address;
+        call.method = method;
+        call.target = target;
+        call.body = body;
+        call.headers = {{"Host", "h.example"}};
+        call.timeout = milliseconds{5000};
+        const auto got = http_send(call);
+        return got ? got->status : 0;
+    }
+    unsigned caller_status(const std::string& method, const std::string& target,
+                           const std::string& body = {}) const
+    {
+        return status_of(settings.callers, method, target, body);
+    }
+
+    // Waits until the host has the configuration, at most 5 s.
+    bool serves() const
+    {
+        constexpr int tries = 250;
+        for (int i = 0; i < tries && caller_status("GET", "/q/") != 200; ++i)
+            std::this_thread::sleep_for(milliseconds{20});
+        return caller_status("GET", "/q/") == 200;
+    }
+};
+
+const std::string config_with_body_limit =
+    R"({"version":1,"routes":[{"name":"r","host":"h.example","path_prefix":"/q/","service":"s"}],)"
+    R"("services":[],"limits":{"max_body_bytes":1000}})";
+
+} // namespace
+
+// Guards against bodies of up to 8 MiB, which were read and decoded whatever the operator allowed.
+BOOST_AUTO_TEST_CASE(a_body_above_the_operators_limit_is_refused_as_too_large)
+{
+    const running_host host(config_with_body_limit);
+    BOOST_REQUIRE(host.serves());
+    const std::string target = "/q/5c0e7a21d94b36f8";
+    BOOST_TEST(host.caller_status("POST", target, std::string(1001, ' ')) == 413U);
+    BOOST_TEST(host.caller_status("POST", target, std::string(1000, ' ')) == 400U); // not a job
+}
+
+// Guards against memory for callers' connections and bodies behind an address that serves checks.
+BOOST_AUTO_TEST_CASE(the_readiness_address_takes_few_connections_and_small_bodies)
+{
+    using boost::asio::ip::tcp;
+    const running_host host(config_with_body_limit);
+    BOOST_REQUIRE(host.serves());
+    BOOST_TEST(running_host::status_of(host.settings.readiness, "GET", "/ready") == 503U);
+    BOOST_TEST(running_host::status_of(host.settings.readiness, "GET", "/ready",
+                                       std::string(5000, ' ')) == 413U);
+    constexpr int beyond = 300;
+    const auto address = parse_ip_port(host.settings.readiness);
+    boost::asio::io_context context;
+    std::vector<tcp::socket> sockets;
+    for (int i = 0; i < beyond; ++i)
+    {
+        sockets.emplace_back(context);
+        sockets.back().connect({boost::asio::ip::make_address(address->ip), address->port});
+    }
+    const auto is_answered = [](tcp::socket& socket)
+    {
+        boost::system::error_code code;
+        boost::asio::write(socket, boost::asio::buffer("GET /ready HTTP/1.1\r\n\r\n", 23), code);
+        char byte = 0;
+        return boost::asio::read(socket, boost::asio::buffer(&byte, 1), code) == 1;
+    };
+    BOOST_TEST(is_answered(sockets.front()));
+    BOOST_TEST(!is_answered(sockets.back()));
+}
+
 BOOST_AUTO_TEST_CASE(all_fields_of_a_job_are_decoded)
 {
     const auto job = decode_job(job_json);
