Look up the holders of an awaited worker in an index

Cause: while hosts are silent, update_awaited_lists looks at the `held` set of every peer for every worker of every silent host, each 40 ms: hosts x workers.

Change: membership keeps an index from each worker to the hosts that announce it, updated when an announced set arrives and when a host restarts, is removed or takes the place of another name at its address. update_awaited_lists asks the index. Past incarnations stay out of it: the search that it replaces never looked at them. The index holds names, not pointers, since pool_host can be copied.

--- a/src/pool/membership.cpp
+++ b/src/pool/membership.cpp
@@ -79,7 +79,7 @@
         {
             m_silence_logged.erase(here->first);
             out.push_back(actions::set_peer_address{here->first, {}});
-            m_peers.erase(here);
+            remove_peer(here);
             continue;
         }
         if (now < host.next_heartbeat)
@@ -150,7 +150,7 @@
         if (here->first == from.name || here->second.address != heartbeat.address())
             continue;
         out.push_back(actions::set_peer_address{here->first, {}});
-        m_peers.erase(here);
+        remove_peer(here);
     }
     auto& host = m_peers[from.name];
     if (from.incarnation < host.ref.incarnation)
@@ -160,6 +160,7 @@
         const auto address = host.address;
         if (!host.ref.empty())
             m_past_incarnations[host.ref] = {host.held, host.last_heard};
+        set_held(from.name, {});
         host = peer{};
         host.ref = from;
         host.address = address;
@@ -198,7 +199,7 @@
     if (heartbeat.with_held())
     {
         host.held_version = heartbeat.held_version();
-        host.held = {heartbeat.held().begin(), heartbeat.held().end()};
+        set_held(from.name, {heartbeat.held().begin(), heartbeat.held().end()});
     }
     host.unread = {heartbeat.unread().begin(), heartbeat.unread().end()};
     if (heartbeat.echoed_incarnation() == m_settings.self.incarnation)
@@ -211,6 +212,37 @@
     return &m_peers.at(from.name);
 }
 
+void membership::set_held(const std::string& name, std::set<std::string> held)
+{
+    auto& known = m_peers.at(name).held;
+    for (const auto& worker : known)
+    {
+        if (held.contains(worker))
+            continue;
+        const auto entry = m_holders.find(worker);
+        std::erase(entry->second, name);
+        if (entry->second.empty())
+            m_holders.erase(entry);
+    }
+    for (const auto& worker : held)
+        if (!known.contains(worker))
+            m_holders[worker].push_back(name);
+    known = std::move(held);
+}
+
+void membership::remove_peer(std::map<std::string, peer>::iterator host)
+{
+    set_held(host->first, {});
+    m_peers.erase(host);
+}
+
+const std::vector<std::string>& membership::holders(const std::string& worker) const
+{
+    static const std::vector<std::string> none;
+    const auto entry = m_holders.find(worker);
+    return entry == m_holders.end() ? none : entry->second;
+}
+
 void membership::withdraw(microseconds now, const host_ref& host, std::uint64_t offer)
 {
     const auto known = m_peers.find(host.name);
--- a/src/pool/membership.hpp
+++ b/src/pool/membership.hpp
@@ -15,6 +15,7 @@
 #include "pool/started_jobs.hpp"
 #include <deque>
 #include <set>
+#include <unordered_map>
 
 namespace egretledge::pool
 {
@@ -72,7 +73,7 @@
     std::uint64_t held_version = 0; // version of `held`
     // The latest version announced; that `held` may not have arrived yet.
     std::uint64_t announced_version = 0;
-    std::set<std::string> held;
+    std::set<std::string> held;   // changed by membership only, with its index of holders
     std::set<std::string> unread; // those of `held` whose lists have not been read yet
     std::uint32_t held_count = 0;
     bool settled = false;
@@ -169,11 +170,18 @@
     bool receives_heartbeats(const host_ref& host, microseconds now) const;
     const peer* find(const std::string& name) const;
     const std::map<std::string, peer>& all() const { return m_peers; }
+    // Returns the names of the hosts, alive or silent, whose `held` contains the worker. Valid
+    // until the next heartbeat or tick.
+    const std::vector<std::string>& holders(const std::string& worker) const;
     const membership_settings& settings() const { return m_settings; }
     // Time of the end of this process's last pause, or of its start.
     microseconds listening_since() const { return m_listening_since; }
 
 private:
+    // Replaces the workers that a host announces, and updates the index of holders.
+    void set_held(const std::string& name, std::set<std::string> held);
+    // Removes a host together with its entries in the index of holders.
+    void remove_peer(std::map<std::string, peer>::iterator host);
     void send_heartbeat(microseconds now, peer& to, const announcement& own_state,
                         action_list& out);
     // Returns the send time of an own heartbeat; negative if it is no longer known.
@@ -189,6 +197,9 @@
 
     membership_settings m_settings;
     std::map<std::string, peer> m_peers;
+    // Index of `held` of all hosts in m_peers: worker -> names of the hosts that announce it. It
+    // stores names, not pointers, so that a copy of this object stays valid by itself.
+    std::unordered_map<std::string, std::vector<std::string>> m_holders;
     std::map<host_ref, past_incarnation> m_past_incarnations; // of hosts that restarted
     std::set<std::string> m_silence_logged;
     std::deque<std::pair<std::uint64_t, microseconds>> m_sent; // sequence and send time
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -250,12 +250,11 @@
         const auto* own = m_pool.find(id);
         if (own != nullptr && own->acquired())
             return true;
-        return std::any_of(m_membership.all().begin(), m_membership.all().end(),
-                           [&](const auto& item)
-                           {
-                               const auto& [name, host] = item;
-                               return host.held.contains(id) && !host.unread.contains(id) &&
-                                      m_membership.alive(name, now.steady);
+        const auto& holders = m_membership.holders(id);
+        return std::any_of(holders.begin(), holders.end(),
+                           [&](const std::string& name) {
+                               return m_membership.alive(name, now.steady) &&
+                                      !m_membership.find(name)->unread.contains(id);
                            });
     };
     const auto listed = [&](const std::string& id)
