Decide on trials of workers without a look at every host for each

Cause: for each worker that a deaf host might acquire, each 40 ms, may_acquire counted all recent hosts to learn whether this host is partitioned, and may_start_trial looked for the worker in the `held` set of every peer.

Change: may_start_trial asks membership's index of holders, and partitioned() is evaluated once a round: neither time nor membership changes within one.

Not changed: choose_workers goes through all live hosts for each worker without a holder, and the set of workers held by live hosts is built anew each round. Neither costs hosts x workers while all peers are silent.

--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -151,12 +151,10 @@
 bool pool_host::may_start_trial(const std::string& worker, instant now)
 {
     bool held_in_silence = false;
-    for (const auto& [name, host] : m_membership.all())
+    for (const auto& name : m_membership.holders(worker))
     {
-        if (!host.held.contains(worker))
-            continue;
         held_in_silence = true;
-        if (now.steady - host.last_heard < m_settings.trial_delay)
+        if (now.steady - m_membership.find(name)->last_heard < m_settings.trial_delay)
             return false;
     }
     if (!held_in_silence)
@@ -194,12 +192,13 @@
                   [&](const std::string& id) { return m_pool.release(id) || !m_pool.holds(id); });
 }
 
-bool pool_host::may_acquire(const worker_entry& entry, instant now, action_list& out)
+bool pool_host::may_acquire(const worker_entry& entry, bool partitioned, instant now,
+                            action_list& out)
 {
     const auto lost = m_lost_at.find(entry.id);
     if (lost != m_lost_at.end() && now.steady - lost->second < m_settings.lost_retry_delay)
         return false;
-    if (m_membership.partitioned(now.steady) && !may_start_trial(entry.id, now))
+    if (partitioned && !may_start_trial(entry.id, now))
         return false;
     if (entry.data_centre == m_settings.membership.data_centre ||
         m_pool.reachable_for(entry.id, now.steady, m_settings.remote_acquire_delay))
@@ -233,8 +232,9 @@
     const auto held = m_pool.held();
     const auto plan = choose_workers(m_settings.assignment, own_settings.self.name, m_registry,
                                      hosts, held_elsewhere, {held.begin(), held.end()});
+    const bool partitioned = m_membership.partitioned(now.steady);
     for (const auto& id : plan.acquire)
-        if (may_acquire(m_registry.at(id), now, out))
+        if (may_acquire(m_registry.at(id), partitioned, now, out))
             m_pool.acquire(now, m_registry.at(id), out);
     for (const auto& id : plan.release)
         m_pool.release(id);
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -128,7 +128,9 @@
     // Returns true if a partitioned host may acquire this worker now; see `trial_delay`.
     bool may_start_trial(const std::string& worker, instant now);
     void evaluate_trials(instant now);
-    bool may_acquire(const worker_entry& entry, instant now, action_list& out);
+    // Returns true if this host may acquire a worker assigned to it now; else may send a probe.
+    // `partitioned` is membership::partitioned().
+    bool may_acquire(const worker_entry& entry, bool partitioned, instant now, action_list& out);
     void record_starts(instant now);
     // Evaluates whether "not run" answers have to wait for the lists of a silent host's workers.
     void update_awaited_lists(instant now, action_list& out);
--- a/tests/pool_rounds_test.cpp
+++ b/tests/pool_rounds_test.cpp
@@ -164,6 +164,22 @@
     BOOST_TEST(tests.large.host().started().updates_awaited());
 }
 
+// Guards against the same livelock: for each worker without a live holder, the host looked at each
+// peer to decide whether it may acquire the worker on trial.
+BOOST_AUTO_TEST_CASE(trials_of_silent_hosts_workers_cost_no_look_at_each_host_for_each_worker)
+{
+    deployments tests;
+    tests.tick_all(50);
+    const auto on_trial = [&]
+    {
+        const auto& host = tests.large.host();
+        return host.hosts().partitioned(tests.large.now()) && host.workers().held().size() == 1;
+    };
+    BOOST_TEST_REQUIRE(on_trial());
+    BOOST_TEST(tests.joint_growth() < max_joint_growth);
+    BOOST_TEST(on_trial());
+}
+
 // Guards against wrong decisions after a restart, a removal or a change of name of a host: the
 // index of holders must agree with what the hosts announce.
 BOOST_AUTO_TEST_CASE(holders_agree_with_the_announcements_of_all_hosts)
