Model: tasks that crash their workers, and workers whose capacity changes

Change: task_behaviour::crashes_after in the worker's model; pool_simulation::make_task_deadly(), with the worker back after crashed_worker_downtime under its id and with a new start time in its replies and registry entry; set_worker_capacity(). The checker counts, from the workers' side, the starts of a task after it has crashed three workers: the third is a violation. The random schedules draw what they drew before.

--- a/harness/pool_simulation.cpp
+++ b/harness/pool_simulation.cpp
@@ -24,6 +24,10 @@
 // The share of retrying callers that prefer a host of their own data centre.
 constexpr double own_data_centre_share = 0.8;
 constexpr std::int64_t epoch_ms = 1800000000000; // Unix time at virtual time 0, arbitrary
+// A deadly task terminates its worker this long after its start.
+constexpr microseconds crash_delay{30000};
+constexpr std::uint32_t max_crashes_of_task = 3;
+constexpr std::uint32_t max_starts_after_crashes = 2; // the third one breaks the rule
 const char* const service = "desk";
 
 } // namespace
@@ -64,14 +68,18 @@
                 [this](const task_name& task)
                 {
                     const auto& job = m_jobs.at(task.job);
-                    return standin::task_behaviour{job.task_time, m_failing_jobs.contains(task.job),
-                                                   job.request.steps[task.step].demand};
+                    return standin::task_behaviour{
+                        job.task_time, m_failing_jobs.contains(task.job),
+                        job.request.steps[task.step].demand,
+                        m_deadly_tasks.contains(task) ? crash_delay : microseconds{-1}};
                 },
                 standin::pool_worker_model::observer{
                     [this](microseconds, const std::string& worker, const run_ref& run)
                     { on_started(worker, run); },
                     [this](microseconds, const std::string& worker, const run_ref& run, run_end end)
-                    { on_ended(worker, run, end); }}));
+                    { on_ended(worker, run, end); },
+                    [this](microseconds, const std::string& worker, const run_ref& run)
+                    { on_crashed(worker, run); }}));
         }
         for (std::uint32_t i = 0; i < m_settings.hosts_per_centre; ++i)
         {
@@ -127,10 +135,21 @@
 {
     worker_registry all;
     for (const auto& worker : m_workers)
-        all.emplace(worker->entry().id, worker->entry());
+    {
+        auto entry = worker->entry();
+        entry.start_time_ms = worker->start_time_ms();
+        all.emplace(entry.id, std::move(entry));
+    }
     return all;
 }
 
+void pool_simulation::publish_registry()
+{
+    for (std::uint32_t host = 0; host < host_count(); ++host)
+        call_host(host, [all = registry()](pool_host& logic, instant now, action_list& out)
+                  { logic.set_registry(now, all, out); });
+}
+
 void pool_simulation::start_host(std::uint32_t index)
 {
     auto& state = *m_hosts[index];
@@ -316,6 +335,12 @@
         m_workers[index]->restart(m_now);
 }
 
+void pool_simulation::set_worker_capacity(std::uint32_t index, const resources& capacity)
+{
+    m_workers[index]->set_capacity(capacity);
+    publish_registry();
+}
+
 void pool_simulation::tick(std::uint32_t index, std::uint64_t incarnation)
 {
     const auto& state = *m_hosts[index];
@@ -764,6 +789,11 @@
         add_violation("two runs at once of " + run.task.job + "." + std::to_string(run.task.index) +
                       " on " + other->second + " and " + worker);
     job.running[run.task] = worker;
+    if (const auto crashes = m_crashes.find(run.task);
+        crashes != m_crashes.end() && crashes->second >= max_crashes_of_task &&
+        ++m_starts_after_budget[run.task] > max_starts_after_crashes)
+        add_violation("started on " + worker + " after " + std::to_string(crashes->second) +
+                      " crashes: " + run.task.job + "." + std::to_string(run.task.index));
     for (const auto& model : m_workers)
         if (model->entry().id == worker && !model->used().fits(model->entry().capacity))
             add_violation("over capacity: " + worker + " uses " +
@@ -780,6 +810,20 @@
         ++job.done[run.task];
 }
 
+void pool_simulation::on_crashed(const std::string& worker, const run_ref& run)
+{
+    ++m_crashes[run.task];
+    print(worker + " crashed by " + run.task.job + "." + std::to_string(run.task.index));
+    for (std::uint32_t index = 0; index < worker_count(); ++index)
+        if (m_workers[index]->entry().id == worker)
+            at(m_now + m_settings.crashed_worker_downtime,
+               [this, index]
+               {
+                   restart_worker(index);
+                   publish_registry();
+               });
+}
+
 std::vector<std::string> pool_simulation::violations()
 {
     for (const auto& [id, job] : m_jobs)
--- a/harness/pool_simulation.hpp
+++ b/harness/pool_simulation.hpp
@@ -11,6 +11,7 @@
 // - No caller receives "not run" for a job of which a task has started.
 // - A call is answered as complete only if every task of its job is done.
 // - Every call is answered exactly once.
+// - A task that crashes its workers is started at most twice after it has crashed three of them.
 
 #include "pool/pool_host.hpp"
 #include "standin/pool_worker_model.hpp"
@@ -39,6 +40,9 @@
     std::uint32_t max_calls = 6;
     // If set, messages from one host to another arrive in the order in which they were sent.
     bool ordered_messages = false;
+    // A worker that a task has crashed restarts after this time. Its registry entry shows the new
+    // start time to all hosts then.
+    milliseconds crashed_worker_downtime{3000};
 };
 
 class pool_simulation
@@ -73,6 +77,18 @@
     // Makes every task of the job that starts from now on fail.
     void make_job_fail(const std::string& id) { m_failing_jobs.insert(id); }
 
+    // Makes one task of the job terminate each worker that starts it, 30 ms after the start.
+    void make_task_deadly(const std::string& id, std::uint32_t index)
+    {
+        m_deadly_tasks.insert({id, 0, 0, index});
+    }
+    // Returns how many workers the task of make_task_deadly() has crashed.
+    std::uint32_t crashes_by(const std::string& id, std::uint32_t index) const
+    {
+        const auto crashes = m_crashes.find({id, 0, 0, index});
+        return crashes == m_crashes.end() ? 0 : crashes->second;
+    }
+
     std::uint32_t centre_count() const { return m_settings.data_centres; }
     std::uint32_t host_count() const { return static_cast<std::uint32_t>(m_hosts.size()); }
     // Terminates the host without notice. The connections of its callers break.
@@ -113,6 +129,9 @@
     standin::pool_worker_model& worker(std::uint32_t index);
     void crash_worker(std::uint32_t index);
     void restart_worker(std::uint32_t index);
+    // Changes the capacity that a worker states in its registry entry, and passes the entry on to
+    // all hosts.
+    void set_worker_capacity(std::uint32_t index, const pool::resources& capacity);
     // Sets the share of orders to workers that get no answer. Half of these orders are executed
     // after the usual network delay and half 2 to 12 s later.
     void set_unanswered_share(double share) { m_unanswered_share = share; }
@@ -226,8 +245,11 @@
     void advance_workers();
     void on_started(const std::string& worker, const pool::run_ref& run);
     void on_ended(const std::string& worker, const pool::run_ref& run, pool::run_end end);
+    void on_crashed(const std::string& worker, const pool::run_ref& run);
     void add_violation(const std::string& description);
     pool::worker_registry registry() const;
+    // Passes the present registry on to all hosts.
+    void publish_registry();
 
     pool_simulation_settings m_settings;
     std::mt19937_64 m_random;
@@ -242,6 +264,9 @@
     std::map<std::pair<std::uint32_t, std::uint32_t>, link> m_links; // by sender and receiver
     std::map<std::string, job_record> m_jobs;
     std::set<std::string> m_failing_jobs;
+    std::set<pool::task_name> m_deadly_tasks;
+    std::map<pool::task_name, std::uint32_t> m_crashes;             // workers that a task crashed
+    std::map<pool::task_name, std::uint32_t> m_starts_after_budget; // after its third crash
     std::vector<call_record> m_calls;
     std::vector<std::string> m_violations;
     std::size_t m_starts = 0;
--- a/src/standin/pool_worker_model.cpp
+++ b/src/standin/pool_worker_model.cpp
@@ -74,6 +74,17 @@
                 end_run(*due, m_running.begin()->first, run_end::lapsed);
             continue;
         }
+        for (const auto& [run, task] : m_running)
+            if (task.crashes_at.count() >= 0 && task.crashes_at <= *due)
+            {
+                const auto culprit = run;
+                while (!m_running.empty())
+                    end_run(*due, m_running.begin()->first, run_end::broken);
+                m_up = false;
+                if (m_observer.crashed)
+                    m_observer.crashed(*due, m_entry.id, culprit);
+                return;
+            }
         for (const auto& [run, task] : m_running)
         {
             if (task.stops_at.count() >= 0 && task.stops_at <= *due)
@@ -97,6 +108,8 @@
     for (const auto& [run, task] : m_running)
     {
         due = std::min(due, task.ends_at);
+        if (task.crashes_at.count() >= 0)
+            due = std::min(due, task.crashes_at);
         if (task.stops_at.count() >= 0)
             due = std::min(due, task.stops_at);
     }
@@ -181,7 +194,9 @@
     behaviour.fails = behaviour.fails || m_failing;
     behaviour.time = std::chrono::duration_cast<microseconds>(behaviour.time * m_slow_factor);
     m_used += behaviour.demand;
-    m_running[order.run] = {now, now + behaviour.time, microseconds{-1}, behaviour};
+    const auto crashes_at =
+        behaviour.crashes_after.count() < 0 ? microseconds{-1} : now + behaviour.crashes_after;
+    m_running[order.run] = {now, now + behaviour.time, microseconds{-1}, crashes_at, behaviour};
     m_observer.started(now, m_entry.id, order.run);
     return reply;
 }
--- a/src/standin/pool_worker_model.hpp
+++ b/src/standin/pool_worker_model.hpp
@@ -17,6 +17,7 @@
     microseconds time{0};
     bool fails = false;
     pool::resources demand;
+    microseconds crashes_after{-1}; // terminates the worker this long after the start; -1: never
 };
 
 class pool_worker_model
@@ -30,6 +31,10 @@
         std::function<void(microseconds, const std::string& worker, const pool::run_ref&,
                            pool::run_end)>
             ended;
+        // A task has terminated its worker. Called with the run of that task after `ended` was
+        // called for all runs. May be empty.
+        std::function<void(microseconds, const std::string& worker, const pool::run_ref&)> crashed =
+            nullptr;
     };
 
     // `clock_rate` is the speed of the worker's clock relative to virtual time.
@@ -37,6 +42,9 @@
                       behaviour_function behaviour_of_task, observer callbacks);
 
     const pool::worker_entry& entry() const { return m_entry; }
+    // Changes the capacity that the worker states in its registry entry. Runs continue.
+    void set_capacity(const pool::resources& capacity) { m_entry.capacity = capacity; }
+    std::uint64_t start_time_ms() const { return m_start_time_ms; }
     bool up() const { return m_up; }
     // Ends all runs as broken. The worker stays down until restart().
     void crash(microseconds now);
@@ -49,7 +57,7 @@
 
     // Executes all events that are due up to `now`. Callers pass non-decreasing times.
     void advance(microseconds now);
-    // Returns the time of the next event: the end of a run or the lease expiry.
+    // Returns the time of the next event: the end of a run, the lease expiry or a crash.
     std::optional<microseconds> next_due() const;
 
     // Handles a hold order: extends the lease and drops the ended runs that the host has seen.
@@ -68,7 +76,8 @@
     {
         microseconds started_at{0};
         microseconds ends_at{0};
-        microseconds stops_at{-1}; // -1 without a stop order
+        microseconds stops_at{-1};   // -1 without a stop order
+        microseconds crashes_at{-1}; // -1: never
         task_behaviour behaviour;
     };
     // Returns the reading of the worker's own clock.
