Give up a task under which two workers have crashed, on whichever hosts

Cause: a run lost with its worker ended as lapsed, and only failed ends count against max_attempts. Callers wait 1.5 s, so one submission saw two crashes at most; the next one, at any host, began to count from zero.

Change: run_end::crashed for a run whose worker's incarnation ended while it was on it; a run that lapses on a silent worker names the incarnation. crash_record keeps both by task and worker for 30 s and announces them in heartbeats (PoolBeat field 26) until echoed, and everything to a new host. A suspicion is confirmed by a new start time, in a reply or registry entry, and cleared by a reply of the same process. Two confirmed: task_failed, also at once for every later submission. Two of which some are not confirmed: no start, and 504 at once; the caller is back after 1.3 s, the workers after some seconds. Workers that were leaving do not count. A start without an answer on a worker that has restarted no longer counts as "never started": the lists of the new incarnation cannot show it. One test's expected end was lapsed for a run on a restarted worker; it is crashed now, and the test checks the incarnation besides.

Ruled out: counting a silent worker as crashed: with that change two workers that were cut off one after the other made their job fail without cause (a_worker_behind_a_partition_does_not_count_as_crashed fails). A third start while undecided: it costs a third worker whenever the task is at fault.

--- a/harness/pool_simulation.cpp
+++ b/harness/pool_simulation.cpp
@@ -26,6 +26,7 @@
 constexpr std::int64_t epoch_ms = 1800000000000; // Unix time at virtual time 0, arbitrary
 // A deadly task terminates its worker this long after its start.
 constexpr microseconds crash_delay{30000};
+constexpr std::uint32_t min_crashes_to_fail = 2; // a job may be given up from then on
 constexpr std::uint32_t max_crashes_of_task = 3;
 constexpr std::uint32_t max_starts_after_crashes = 2; // the third one breaks the rule
 const char* const service = "desk";
@@ -683,6 +684,15 @@
     if (trace)
         std::cout << m_now.count() / 1000.0 << " caller of " << record.job << " is told "
                   << name_of(answer.kind) << '\n';
+    const auto reaches = [](const auto& counts, std::uint32_t limit)
+    {
+        return std::any_of(counts.begin(), counts.end(),
+                           [&](const auto& item) { return item.second >= limit; });
+    };
+    if (answer.kind == answer_kind::task_failed &&
+        !reaches(job.failures, job.request.terms.max_attempts) &&
+        !reaches(job.crashes, min_crashes_to_fail))
+        add_violation("told that it failed, without cause: " + record.job);
     if (row_of(answer.kind).result == outcome::not_run && job.starts > 0)
         add_violation("told that it has not run, but a task had started: " + record.job);
     if (job.retries && retries_after(answer))
@@ -808,6 +818,10 @@
         job.running.erase(known);
     if (end == run_end::done)
         ++job.done[run.task];
+    if (end == run_end::failed)
+        ++job.failures[run.task];
+    if (end == run_end::broken) // the model ends runs so only at a crash
+        ++job.crashes[run.task];
 }
 
 void pool_simulation::on_crashed(const std::string& worker, const run_ref& run)
--- a/harness/pool_simulation.hpp
+++ b/harness/pool_simulation.hpp
@@ -11,6 +11,8 @@
 // - No caller receives "not run" for a job of which a task has started.
 // - A call is answered as complete only if every task of its job is done.
 // - Every call is answered exactly once.
+// - A job is answered as failed only if one of its tasks used up its attempts or was on two workers
+//   when they crashed.
 // - A task that crashes its workers is started at most twice after it has crashed three of them.
 
 #include "pool/pool_host.hpp"
@@ -188,6 +190,8 @@
         std::string data_centre;                        // of the caller
         std::map<pool::task_name, std::string> running; // task -> worker
         std::map<pool::task_name, std::uint32_t> done;
+        std::map<pool::task_name, std::uint32_t> failures; // runs that ended as failed
+        std::map<pool::task_name, std::uint32_t> crashes;  // of workers on which the task ran
         std::size_t starts = 0;
         std::vector<std::size_t> calls;
     };
--- a/src/pool/admission.cpp
+++ b/src/pool/admission.cpp
@@ -257,6 +257,12 @@
     const auto& terms = job.request.terms;
     job.objective = job.arrived + time_allowed(terms, job.critical_path);
     job.deadline = job.arrived + microseconds{terms.wait};
+    if (const auto answer = answer_to(m_crashes.verdict(job.request.id)))
+    {
+        log_job(job, *answer, now, out);
+        m_results.push_back({caller, job.request.id, *answer, false});
+        return;
+    }
     if (auto refused = evaluate_admission(now, job))
     {
         const bool former_runs = ending(job.request.id);
--- a/src/pool/held_worker.cpp
+++ b/src/pool/held_worker.cpp
@@ -128,6 +128,7 @@
     run_state state;
     state.view = {run, demand, now, 0, now, false};
     state.fence = m_fence;
+    state.start_time_ms = m_start_time_ms;
     m_runs.emplace(run, state);
     m_used += demand;
     const auto request = next_request++;
@@ -183,7 +184,7 @@
     if (m_silent_since.count() != 0 && !m_runs.empty() && lease_certainly_expired(now))
 #endif
     {
-        end_all_runs(now, run_end::lapsed, events);
+        end_silent_runs(now, events);
         raise_fence();
         m_next_hold = now + m_settings.retry_delay;
     }
@@ -357,6 +358,7 @@
         state.at = stage::running;
         state.confirmed_at = now;
     }
+    state.start_time_ms = m_start_time_ms;
     state.view.percent = line.percent;
     state.view.percent_at = now;
 }
@@ -397,23 +399,53 @@
         const auto run = here->first;
         const bool ours = !state.foreign;
         const auto ran = now - state.view.sent;
+        const auto start_time_ms = state.start_time_ms;
         remove_run(here);
         if (!ours)
             continue;
-        if (never_started)
-            events.push_back(
-                {worker_event_kind::not_started, m_entry.id, run, {}, order_result::no_answer, {}});
+        // What an incarnation that has ended had started is not in the lists of the next one.
+        if (start_time_ms != m_start_time_ms)
+            events.push_back({worker_event_kind::ended,
+                              m_entry.id,
+                              run,
+                              run_end::crashed,
+                              {},
+                              ran,
+                              start_time_ms,
+                              false});
+        else if (never_started)
+            events.push_back({worker_event_kind::not_started,
+                              m_entry.id,
+                              run,
+                              {},
+                              order_result::no_answer,
+                              {},
+                              0,
+                              false});
         else
-            events.push_back({worker_event_kind::ended, m_entry.id, run, run_end::lapsed, {}, ran});
+            events.push_back({worker_event_kind::ended,
+                              m_entry.id,
+                              run,
+                              run_end::lapsed,
+                              {},
+                              ran,
+                              start_time_ms,
+                              false});
     }
 }
 
-void held_worker::end_all_runs(microseconds now, run_end end, worker_events& events)
+void held_worker::end_silent_runs(microseconds now, worker_events& events)
 {
     for (const auto& [ref, state] : m_runs)
         if (!state.foreign)
-            events.push_back(
-                {worker_event_kind::ended, m_entry.id, ref, end, {}, now - state.view.sent});
+            events.push_back({worker_event_kind::ended,
+                              m_entry.id,
+                              ref,
+                              run_end::lapsed,
+                              {},
+                              now - state.view.sent,
+                              state.start_time_ms,
+                              true});
     m_runs.clear();
     m_used = {};
 }
--- a/src/pool/held_worker.hpp
+++ b/src/pool/held_worker.hpp
@@ -54,6 +54,10 @@
     run_end end = run_end::done;                  // for ended
     order_result reason = order_result::accepted; // for not_started and lost
     microseconds ran{0};                          // for ended: time since the start was sent
+    // For ended: the start time of the worker's incarnation that had the run, 0 if unknown; and
+    // whether the run lapsed because that worker fell silent, so that it may have crashed.
+    std::uint64_t start_time_ms = 0;
+    bool silent = false;
 };
 using worker_events = std::vector<worker_event>;
 
@@ -82,6 +86,8 @@
     bool usable() const;
     // Selects `lossy_renew_interval`; set while orders to workers are being lost in the network.
     void set_lossy(bool lossy) { m_lossy = lossy; }
+    // Start time of the worker's process, by its latest reply; 0 if unknown.
+    std::uint64_t start_time_ms() const { return m_start_time_ms; }
     bool idle() const { return m_runs.empty(); }
     // Returns true while runs of a former holder are listed on the worker.
     bool has_foreign_runs() const;
@@ -123,9 +129,10 @@
     {
         run_view view;
         stage at = stage::starting;
-        bool foreign = false;         // started by a former holder
-        std::uint64_t fence = 0;      // fencing token of the start
-        microseconds confirmed_at{0}; // when this host learned that it is running
+        bool foreign = false;            // started by a former holder
+        std::uint64_t fence = 0;         // fencing token of the start
+        std::uint64_t start_time_ms = 0; // of the worker's incarnation that has the run
+        microseconds confirmed_at{0};    // when this host learned that it is running
         microseconds stop_sent{0};
         bool stop_accepted = false; // the worker has accepted the stop
     };
@@ -168,7 +175,8 @@
     // Resolves runs that the hold's list does not contain: never started, or ended.
     void resolve_unlisted_runs(microseconds now, const open_order& order, const worker_reply& reply,
                                worker_events& events);
-    void end_all_runs(microseconds now, run_end end, worker_events& events);
+    // Reports all runs of a silent worker as ended.
+    void end_silent_runs(microseconds now, worker_events& events);
     void remove_run(std::map<run_ref, run_state>::iterator entry);
     void mark_lost(order_result reason, worker_events& events);
     void on_worker_restart(microseconds now, const worker_reply& reply);
--- a/src/pool/membership.cpp
+++ b/src/pool/membership.cpp
@@ -131,6 +131,8 @@
         heartbeat.add_unread(worker);
     if (own_state.started != nullptr)
         own_state.started->announce(to.echo_sent, *heartbeat.mutable_started());
+    if (own_state.crashes != nullptr)
+        own_state.crashes->announce(to.echo_sent, *heartbeat.mutable_crashes());
     while (!to.withdrawn.empty() && to.withdrawn.front().first < to.echo_sent)
         to.withdrawn.pop_front();
     for (const auto& [when, offer] : to.withdrawn)
--- a/src/pool/membership.hpp
+++ b/src/pool/membership.hpp
@@ -12,6 +12,7 @@
 // listed them has been echoed. A pool keeps a job only while new heartbeats of the caller's host
 // arrive, and each of these carries the withdrawal.
 
+#include "pool/crash_record.hpp"
 #include "pool/started_jobs.hpp"
 #include <deque>
 #include <set>
@@ -108,6 +109,7 @@
         std::vector<std::string> held;
         std::vector<std::string> unread;
         const started_jobs* started = nullptr; // null: none are announced
+        const crash_record* crashes = nullptr; // null: none are announced
     };
     // Sends the heartbeats that are due. `announce` is called only if there are any.
     void tick(microseconds now, const std::function<announcement()>& announce, action_list& out);
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -132,6 +132,7 @@
 
 void worker_pool::place(microseconds now, action_list& out)
 {
+    end_crashing_jobs(now, out);
     std::uint32_t scanned = 0;
     bool late_waits = false;
     for (auto* job : placement_order(now))
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -91,6 +91,11 @@
     }
     m_registry = std::move(registry);
     m_pool.on_registry(m_registry);
+    if (const auto resolved = m_pool.crashes().on_registry(now.steady, m_registry);
+        resolved.confirmed > 0)
+        out.push_back(actions::log_event{true, "event=crashes_resolved source=registry confirmed=" +
+                                                   std::to_string(resolved.confirmed) +
+                                                   " cleared=0"});
 }
 
 void pool_host::run_overdue_timers(instant now, action_list& out)
@@ -118,7 +123,8 @@
                                             m_pool.held_version(),
                                             m_pool.held(),
                                             m_pool.unread(),
-                                            &m_started};
+                                            &m_started,
+                                            &m_pool.crashes()};
         },
         out);
     cancel_silent_callers(now, out);
@@ -432,6 +438,7 @@
     case wire::PeerMessage::kPoolBeat:
     {
         m_started.record_announced(now.steady, message.pool_beat().started());
+        m_pool.crashes().record_announced(now.steady, message.pool_beat().crashes());
         const auto* host = m_membership.on_heartbeat(now.steady, from, message.pool_beat(), out);
         if (host == nullptr)
             break;
--- a/src/pool/pool_types.hpp
+++ b/src/pool/pool_types.hpp
@@ -150,9 +150,10 @@
     failed,  // because of the task or the worker
     stopped, // by a stop order
     lapsed,  // the lease expired
-    broken   // ended because another run ended, or timed out while waiting for other runs
+    broken,  // ended because another run ended, or timed out while waiting for other runs
+    crashed  // the worker's incarnation ended while the run was on it; no worker lists this end
 };
-BOOST_DESCRIBE_ENUM(run_end, done, failed, stopped, lapsed, broken)
+BOOST_DESCRIBE_ENUM(run_end, done, failed, stopped, lapsed, broken, crashed)
 std::string_view name_of(run_end value);
 
 // A run in a worker's list of running runs.
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -43,7 +43,8 @@
 } // namespace
 
 worker_pool::worker_pool(worker_pool_settings settings, std::uint64_t identity)
-    : m_settings(settings), m_identity(identity & ((1ULL << fence_identity_bits) - 1))
+    : m_settings(settings), m_identity(identity & ((1ULL << fence_identity_bits) - 1)),
+      m_crashes(settings.crashes)
 {
 }
 
@@ -209,6 +210,7 @@
         end_former(run);
     expire_jobs(now, out);
     stop_stuck_runs(now, out);
+    m_crashes.evict_expired(now);
     place(now, out);
 }
 
@@ -247,11 +249,13 @@
     }
     worker_events events;
     bool found = false;
+    std::string worker;
     for (auto& [id, record] : m_workers)
     {
         found = record.worker.on_reply(now, request, reply, m_next_request, out, events);
         if (found)
         {
+            worker = id;
             if (reply.result == order_result::unhealthy)
                 record.quarantined_until =
                     std::max(record.quarantined_until, now + m_settings.unhealthy_pause);
@@ -263,11 +267,15 @@
             break;
         }
     }
+    handle_events(now, events, out);
+    if (const auto resolved = m_crashes.worker_answered(now, worker, reply.start_time_ms);
+        resolved.confirmed + resolved.cleared > 0)
+        out.push_back(
+            actions::log_event{true, "event=crashes_resolved source=" + worker +
+                                         " confirmed=" + std::to_string(resolved.confirmed) +
+                                         " cleared=" + std::to_string(resolved.cleared)});
     if (!events.empty())
-    {
-        handle_events(now, events, out);
         place(now, out);
-    }
     return found;
 }
 
@@ -302,6 +310,8 @@
         return on_lost(now, event, out);
     if (event.kind == worker_event_kind::found)
         return m_start_changes.started.push_back(event.run.task.job);
+    if (event.kind == worker_event_kind::ended)
+        record_crash(now, event, out);
     if (end_former(event.run))
     {
         if (event.end != run_end::done)
@@ -330,6 +340,58 @@
         task_failed(now, nullptr, *job, *task, out);
 }
 
+void worker_pool::record_crash(microseconds now, const worker_event& event, action_list& out)
+{
+    const bool crashed = event.end == run_end::crashed;
+    const auto worker = m_workers.find(event.worker);
+    if ((!crashed && !event.silent) || (worker != m_workers.end() && worker->second.leaving))
+        return;
+    if (crashed)
+        m_crashes.confirm(now, event.run.task, event.worker, event.start_time_ms);
+    else
+        m_crashes.suspect(now, event.run.task, event.worker, event.start_time_ms);
+    out.push_back(actions::log_event{
+        true, "event=worker_lost_under run=" + run_text(event.run) + " worker=" + event.worker +
+                  " crashed=" + (crashed ? "true" : "unknown") +
+                  " verdict=" + std::string(name_of(m_crashes.verdict(event.run.task)))});
+}
+
+std::optional<call_answer> worker_pool::answer_to(crash_verdict verdict)
+{
+    switch (verdict)
+    {
+    case crash_verdict::deadly:
+        return call_answer{answer_kind::task_failed, {}, "a task crashed the workers it ran on"};
+    case crash_verdict::undecided:
+        return call_answer{answer_kind::deadline_passed,
+                           {},
+                           "a task does not start again until the workers that fell silent under "
+                           "it answer"};
+    default:
+        return std::nullopt;
+    }
+}
+
+void worker_pool::end_crashing_jobs(microseconds now, action_list& out)
+{
+    if (m_crashes.empty())
+        return;
+    std::vector<std::pair<std::string, call_answer>> ended;
+    for (const auto& [id, job] : m_jobs)
+    {
+        if (job.waiting == 0 || m_crashes.verdict(id) < crash_verdict::undecided)
+            continue;
+        auto verdict = crash_verdict::none;
+        for (const auto& task : job.tasks)
+            if (task.stage == task_stage::waiting)
+                verdict = std::max(verdict, m_crashes.verdict({id, 0, task.step, task.index}));
+        if (auto answer = answer_to(verdict))
+            ended.emplace_back(id, std::move(*answer));
+    }
+    for (auto& [id, answer] : ended)
+        finish(now, m_jobs.at(id), std::move(answer), false, out);
+}
+
 bool worker_pool::end_former(const run_ref& run)
 {
     const auto former = m_former.find(run.task.job);
@@ -430,15 +492,20 @@
     std::vector<run_ref> runs;
     for (const auto& view : record->second.worker.runs())
         runs.push_back(view.run);
+    const bool leaving = record->second.leaving;
+    const auto start_time_ms = record->second.worker.start_time_ms();
     remove_worker(event.worker);
     m_losses.push_back(event.worker);
     const bool terminated = event.reason == order_result::other_lifetime;
+    const auto end = leaving ? run_end::lapsed : run_end::crashed;
     for (const auto& run : runs)
     {
         if (terminated)
         {
-            on_event(now, {worker_event_kind::ended, event.worker, run, run_end::lapsed, {}, {}},
-                     out);
+            on_event(
+                now,
+                {worker_event_kind::ended, event.worker, run, end, {}, {}, start_time_ms, false},
+                out);
             continue;
         }
         // The new holder stops the run; at the latest it ends when its lease expires.
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -5,6 +5,7 @@
 // with a reference to the call that waits for it; its outcome is reported once, as a pool_result.
 
 #include "core/run_times.hpp"
+#include "pool/crash_record.hpp"
 #include "pool/held_worker.hpp"
 #include "pool/slot_schedule.hpp"
 #include <functional>
@@ -16,6 +17,7 @@
 struct worker_pool_settings
 {
     held_worker_settings workers;
+    crash_record_settings crashes;
     // A job that cannot end within this many times its objective is refused: its caller does not
     // wait longer.
     double late_factor = 3;
@@ -119,6 +121,10 @@
     // Declines all jobs of which nothing was started, so that they can be offered to other pools.
     void decline_unstarted_jobs(microseconds now, action_list& out);
 
+    // Crashes of workers under tasks, here and, as announced, on other hosts.
+    crash_record& crashes() { return m_crashes; }
+    const crash_record& crashes() const { return m_crashes; }
+
     void tick(microseconds now, action_list& out);
     // Processes a worker's reply. Returns false if the request is not one of this pool's.
     bool on_worker_reply(microseconds now, std::uint64_t request, const worker_reply& reply,
@@ -226,6 +232,13 @@
     std::vector<open_job*> placement_order(microseconds now);
     void handle_events(microseconds now, const worker_events& events, action_list& out);
     void on_event(microseconds now, const worker_event& event, action_list& out);
+    // Records that the worker crashed or fell silent under the run, unless it was leaving.
+    void record_crash(microseconds now, const worker_event& event, action_list& out);
+    // Returns the answer to a job of which a task is not started again, since workers crashed or
+    // fell silent under it; nothing if every task may start.
+    static std::optional<call_answer> answer_to(crash_verdict verdict);
+    // Ends the jobs that wait for such a task.
+    void end_crashing_jobs(microseconds now, action_list& out);
     void on_ended(microseconds now, const worker_event& event, action_list& out);
     void on_lost(microseconds now, const worker_event& event, action_list& out);
     // Counts a failed attempt. `record` is the worker that failed, or null if none is to blame.
@@ -291,6 +304,7 @@
     // has acquired the worker, else the maximum.
     std::map<std::string, std::map<run_ref, microseconds>> m_former;
     run_times m_run_times;
+    crash_record m_crashes;
     resources m_usual_demand; // of the most recently placed task
     std::vector<pool_result> m_results;
     microseconds m_late_jobs_served_at{0}; // when last no late job was left waiting for capacity
--- /dev/null
+++ b/tests/pool_crash_test.cpp
@@ -0,0 +1,277 @@
+// Tasks that crash the workers that start them, and workers whose capacity changes.
+
+#include "harness/pool_simulation.hpp"
+#include "pool/crash_record.hpp"
+#include "tests/pool_helpers.hpp"
+#include <boost/test/unit_test.hpp>
+
+using namespace egretledge;
+using namespace egretledge::pool;
+using namespace egretledge::harness;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// Two data centres of three hosts. Callers wait and retry as on the platform.
+pool_simulation_settings platform_settings(std::uint64_t seed)
+{
+    pool_simulation_settings settings;
+    settings.seed = seed;
+    settings.data_centres = 2;
+    settings.hosts_per_centre = 3;
+    settings.workers_per_centre = 8;
+    settings.caller_wait = 1500ms;
+    settings.platform_callers = true;
+    settings.max_calls = 20;
+    settings.ordered_messages = true;
+    return settings;
+}
+
+void check_rules(pool_simulation& sim)
+{
+    for (const auto& violation : sim.violations())
+        BOOST_TEST(false, violation);
+}
+
+// Returns the share of the jobs whose id begins with `prefix` that were answered as complete.
+double complete_share(const pool_simulation& sim, const std::string& prefix)
+{
+    std::set<std::string> jobs;
+    std::set<std::string> complete;
+    for (const auto& call : sim.calls())
+        if (call.job.starts_with(prefix))
+        {
+            jobs.insert(call.job);
+            if (call.answered.count() >= 0 && call.answer.kind == answer_kind::ok)
+                complete.insert(call.job);
+        }
+    return static_cast<double>(complete.size()) / static_cast<double>(jobs.size());
+}
+
+void submit_load(pool_simulation& sim, std::int64_t from_ms, std::int64_t until_ms,
+                 std::int64_t every_ms)
+{
+    for (auto ms = from_ms; ms < until_ms; ms += every_ms)
+        sim.at(at_ms(ms),
+               [&sim, ms]
+               {
+                   const auto host = static_cast<std::uint32_t>(ms) % sim.host_count();
+                   if (sim.host(host) != nullptr)
+                       sim.submit(host, "usual" + std::to_string(ms), 3, usual_task, 200ms, true);
+               });
+}
+
+constexpr std::uint64_t seeds = 10;
+
+} // namespace
+
+// Guards against a task that crashes each worker that starts it being started without end, since
+// every submission of its job began to count anew.
+BOOST_AUTO_TEST_CASE(a_task_that_crashes_its_workers_is_given_up_after_two)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        pool_simulation sim(platform_settings(seed));
+        sim.make_task_deadly("deadly", 2);
+        sim.at(at_ms(3000), [&] { sim.submit(0, "deadly", 4, usual_task, 200ms, true); });
+        sim.run_until(at_ms(40000));
+        BOOST_TEST(sim.crashes_by("deadly", 2) <= 2U);
+        BOOST_TEST((sim.last_call("deadly")->answer.kind == answer_kind::task_failed));
+        check_rules(sim);
+    }
+}
+
+// Guards against crashes being forgotten with the host that saw them.
+BOOST_AUTO_TEST_CASE(crashes_under_a_task_are_known_after_the_death_of_their_pools_host)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        pool_simulation sim(platform_settings(seed));
+        sim.make_task_deadly("deadly", 2);
+        sim.at(at_ms(3000), [&] { sim.submit(0, "deadly", 4, usual_task, 200ms, true); });
+        sim.at(at_ms(4200),
+               [&]
+               {
+                   for (std::uint32_t host = 0; host < sim.host_count(); ++host)
+                       if (sim.host(host)->workers().counts().starts > 0)
+                           sim.kill_host(host);
+               });
+        sim.run_until(at_ms(40000));
+        BOOST_TEST(sim.crashes_by("deadly", 2) <= 3U);
+        BOOST_TEST((sim.last_call("deadly")->answer.kind == answer_kind::task_failed));
+        check_rules(sim);
+    }
+}
+
+// Guards against the jobs that share workers with a task that crashes them being given up.
+BOOST_AUTO_TEST_CASE(jobs_beside_a_task_that_crashes_its_workers_are_served)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        pool_simulation sim(platform_settings(seed));
+        submit_load(sim, 2600, 20000, 40);
+        sim.make_task_deadly("deadly", 2);
+        sim.at(at_ms(3000), [&] { sim.submit(0, "deadly", 4, usual_task, 200ms, true); });
+        sim.run_until(at_ms(40000));
+        BOOST_TEST(sim.crashes_by("deadly", 2) <= 2U);
+        BOOST_TEST((sim.last_call("deadly")->answer.kind == answer_kind::task_failed));
+        for (const auto& call : sim.calls())
+            if (call.job != "deadly")
+                BOOST_TEST((call.answer.kind != answer_kind::task_failed), call.job);
+        BOOST_TEST(complete_share(sim, "usual") > 0.99);
+        check_rules(sim);
+    }
+}
+
+// Guards against counting a partition as a crash: the worker falls silent under a run, lapses it,
+// and is then heard again in the same incarnation.
+BOOST_AUTO_TEST_CASE(a_worker_behind_a_partition_does_not_count_as_crashed)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        auto settings = platform_settings(seed);
+        settings.data_centres = 1;
+        settings.workers_per_centre = 3;
+        pool_simulation sim(settings);
+        sim.at(at_ms(3000), [&] { sim.submit(0, "long", 2, usual_task, 400ms, true); });
+        // Whichever worker has a run of the job is cut off, until it has happened to two workers.
+        std::set<std::uint32_t> cut;
+        for (std::int64_t ms = 3050; ms < 6000; ms += 20)
+            sim.at(at_ms(ms),
+                   [&]
+                   {
+                       for (std::uint32_t worker = 0; worker < sim.worker_count(); ++worker)
+                           if (cut.size() < 2 && sim.worker(worker).running() > 0 &&
+                               cut.insert(worker).second)
+                               for (std::uint32_t host = 0; host < sim.host_count(); ++host)
+                                   sim.cut_worker(host, worker, true);
+                   });
+        sim.at(at_ms(6000),
+               [&]
+               {
+                   for (const auto worker : cut)
+                       for (std::uint32_t host = 0; host < sim.host_count(); ++host)
+                           sim.cut_worker(host, worker, false);
+               });
+        sim.run_until(at_ms(20000));
+        BOOST_TEST(cut.size() == 2U);
+        BOOST_TEST((sim.last_call("long")->answer.kind == answer_kind::ok));
+        check_rules(sim);
+    }
+}
+
+namespace
+{
+
+const task_name task{"job", 0, 0, 1};
+const task_name sibling{"job", 0, 0, 2};
+
+// Passes on what one record announces for a peer that has echoed what was sent at `since`.
+int announce(const crash_record& from, microseconds since, microseconds now, crash_record& to)
+{
+    wire::PoolBeat heartbeat;
+    from.announce(since, *heartbeat.mutable_crashes());
+    to.record_announced(now, heartbeat.crashes());
+    return heartbeat.crashes_size();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_suspicion_is_confirmed_by_a_new_incarnation_and_cleared_by_the_same_one)
+{
+    crash_record record({});
+    BOOST_TEST((record.verdict(task) == crash_verdict::none));
+    record.suspect(at_ms(1), task, "w1", 7);
+    BOOST_TEST((record.verdict(task) == crash_verdict::suspect));
+    BOOST_TEST((record.verdict(sibling) == crash_verdict::none));
+    record.suspect(at_ms(2), task, "w2", 7);
+    BOOST_TEST((record.verdict(task) == crash_verdict::undecided));
+    BOOST_TEST((record.verdict("job") == crash_verdict::undecided));
+    BOOST_TEST(record.worker_answered(at_ms(3), "w1", 8).confirmed == 1U);
+    BOOST_TEST((record.verdict(task) == crash_verdict::undecided));
+    BOOST_TEST(record.worker_answered(at_ms(4), "w2", 7).cleared == 1U);
+    BOOST_TEST((record.verdict(task) == crash_verdict::suspect));
+    // A later run on the same incarnation may crash it after all.
+    record.suspect(at_ms(5), task, "w2", 7);
+    BOOST_TEST(record.worker_answered(at_ms(6), "w2", 9).confirmed == 1U);
+    BOOST_TEST((record.verdict(task) == crash_verdict::deadly));
+    BOOST_TEST((record.verdict("job") == crash_verdict::deadly));
+    BOOST_TEST((record.verdict("other") == crash_verdict::none));
+}
+
+// Guards against a registry entry that outlives its worker clearing a suspicion.
+BOOST_AUTO_TEST_CASE(a_registry_entry_confirms_a_crash_only_by_a_new_start_time)
+{
+    crash_record record({});
+    record.suspect(at_ms(1), task, "w1", 7);
+    worker_registry registry;
+    registry["w1"].start_time_ms = 7;
+    record.on_registry(at_ms(2), registry);
+    BOOST_TEST((record.verdict(task) == crash_verdict::suspect));
+    registry["w1"].start_time_ms = 6; // an entry that was read late
+    record.on_registry(at_ms(3), registry);
+    record.suspect(at_ms(4), task, "w2", 3);
+    BOOST_TEST((record.verdict(task) == crash_verdict::undecided));
+    registry["w1"].start_time_ms = registry["w2"].start_time_ms = 8;
+    BOOST_TEST(record.on_registry(at_ms(5), registry).confirmed == 2U);
+    BOOST_TEST((record.verdict(task) == crash_verdict::deadly));
+}
+
+// Guards against giving up a task because two hosts report the same crash.
+BOOST_AUTO_TEST_CASE(a_crash_that_two_hosts_report_counts_once)
+{
+    crash_record first({});
+    crash_record second({});
+    first.suspect(at_ms(1), task, "w1", 7);
+    second.suspect(at_ms(1), task, "w1", 7);
+    first.worker_answered(at_ms(2), "w1", 8);
+    second.worker_answered(at_ms(2), "w1", 8);
+    announce(first, at_ms(0), at_ms(3), second);
+    announce(second, at_ms(0), at_ms(3), first);
+    BOOST_TEST((first.verdict(task) == crash_verdict::suspect));
+    BOOST_TEST((second.verdict(task) == crash_verdict::suspect));
+    BOOST_TEST(first.known() == 1U);
+    first.confirm(at_ms(4), task, "w1", 8); // its next incarnation is another crash
+    BOOST_TEST((first.verdict(task) == crash_verdict::deadly));
+}
+
+BOOST_AUTO_TEST_CASE(crashes_are_announced_until_echoed_and_all_of_them_to_a_new_host)
+{
+    crash_record first({});
+    crash_record second({});
+    crash_record third({});
+    first.suspect(at_ms(10), task, "w1", 7);
+    BOOST_TEST(announce(first, at_ms(5), at_ms(20), second) == 1);
+    BOOST_TEST(announce(first, at_ms(11), at_ms(20), second) == 0);
+    BOOST_TEST((second.verdict(task) == crash_verdict::suspect));
+    BOOST_TEST(announce(second, at_ms(5), at_ms(20), third) == 0); // it did not see the crash
+    BOOST_TEST(announce(second, at_ms(-1), at_ms(30), third) == 1);
+    first.worker_answered(at_ms(40), "w1", 7);
+    BOOST_TEST(announce(first, at_ms(35), at_ms(41), second) == 1);
+    BOOST_TEST((second.verdict(task) == crash_verdict::none));
+    // The earlier suspicion arrives once more, from a host that has not heard of the answer.
+    announce(third, at_ms(-1), at_ms(42), second);
+    BOOST_TEST((second.verdict(task) == crash_verdict::none));
+}
+
+BOOST_AUTO_TEST_CASE(crashes_are_forgotten_after_their_retention_period_and_beyond_their_number)
+{
+    crash_record_settings settings;
+    settings.max_known = 4;
+    crash_record record(settings);
+    record.confirm(at_ms(1), task, "w1", 7);
+    record.suspect(at_ms(2000), task, "w2", 7);
+    record.evict_expired(at_ms(30500));
+    BOOST_TEST((record.verdict(task) == crash_verdict::suspect));
+    record.worker_answered(at_ms(30600), "w2", 8); // is kept for another period
+    record.evict_expired(at_ms(60000));
+    BOOST_TEST(record.known() == 1U);
+    record.evict_expired(at_ms(60700));
+    BOOST_TEST(record.empty());
+    for (std::uint32_t i = 0; i < 100; ++i)
+        record.suspect(at_ms(60800), {"job" + std::to_string(i), 0, 0, 0}, "w1", 7);
+    BOOST_TEST(record.known() == 4U);
+    BOOST_TEST(record.worker_answered(at_ms(60900), "w1", 8).confirmed > 0U);
+    BOOST_TEST(record.known() <= 4U);
+}
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -394,11 +394,48 @@
     const auto hold = test.last<actions::hold_worker>();
     test.reply(at_ms(402), hold.request, answer);
     BOOST_REQUIRE(!test.events.empty());
-    BOOST_TEST((test.events[0].end == run_end::lapsed));
+    BOOST_TEST((test.events[0].end == run_end::crashed));
+    BOOST_TEST(test.events[0].start_time_ms == 7U);
     BOOST_TEST(!test.worker.usable());
     BOOST_TEST(test.last<actions::hold_worker>().fence > hold.fence);
 }
 
+// Guards against a crash that looks like any lapse: the runs of a silent worker end with its
+// incarnation, so that they can be told apart once it is heard again.
+BOOST_AUTO_TEST_CASE(a_run_that_lapses_on_a_silent_worker_names_its_incarnation)
+{
+    worker_fixture test;
+    test.take();
+    test.worker.start(at_ms(10), first_run, usual_task, "p", test.next, test.out);
+    test.reply(at_ms(12), test.last<actions::start_run>().request, worker_fixture::accepted(5010));
+    for (int ms = 100; ms < 900 && test.events.empty(); ms += 20)
+    {
+        test.worker.tick(at_ms(ms), test.next, test.out, test.events);
+        if (test.events.empty())
+            test.reply(at_ms(ms + 1), test.last<actions::hold_worker>().request, {});
+    }
+    BOOST_REQUIRE(test.events.size() == 1U);
+    BOOST_TEST((test.events[0].end == run_end::lapsed));
+    BOOST_TEST(test.events[0].silent);
+    BOOST_TEST(test.events[0].start_time_ms == 7U);
+}
+
+// Guards against "not run" for a start that crashed its worker before it was answered: the next
+// incarnation does not list what the former one had started.
+BOOST_AUTO_TEST_CASE(an_unanswered_start_on_a_worker_that_restarted_may_have_run)
+{
+    worker_fixture test;
+    test.take();
+    test.worker.start(at_ms(10), first_run, usual_task, "p", test.next, test.out);
+    test.reply(at_ms(60), test.last<actions::start_run>().request, {});
+    auto answer = worker_fixture::accepted(3);
+    answer.start_time_ms = 8;
+    test.reply(at_ms(62), test.last<actions::hold_worker>().request, answer);
+    BOOST_REQUIRE(test.events.size() == 1U);
+    BOOST_TEST((test.events[0].kind == worker_event_kind::ended));
+    BOOST_TEST((test.events[0].end == run_end::crashed));
+}
+
 // Guards against counting a live run as ended (schedule seed 777422): the worker restarted while it
 // was idle, and accepted a start before the first hold showed its new incarnation.
 BOOST_AUTO_TEST_CASE(a_run_started_in_a_new_worker_incarnation_is_kept)
