Count an unanswered start as less than a crash; play schedules with deadly tasks

Change: reports say whether the worker had answered the start. Two answered starts, or three with or without an answer, make a task deadly: a task that crashes its worker before the answer is still given up, within the five starts that the rule permits. The grown schedules draw what they drew before.

Ruled out: not counting unanswered starts at all: a task whose crash beats the answer would be started without end.

--- a/harness/pool_schedule.hpp
+++ b/harness/pool_schedule.hpp
@@ -14,6 +14,7 @@
     std::size_t calls = 0;
     std::size_t complete = 0;
     std::size_t starts = 0;
+    std::uint32_t max_crashes_by_task = 0; // workers that one task of make_task_deadly() crashed
 };
 
 // Runs one schedule: 10 s of load, then a period without load or new faults. The faults are killed
@@ -28,6 +29,11 @@
 // run_pool_schedule().
 pool_schedule_result run_grown_pool_schedule(std::uint64_t seed, bool trace);
 
+// Runs a schedule of run_grown_pool_schedule() in which one to three jobs have a task that crashes
+// each worker that starts it, and workers are back after 0.3 to 8 s. The load and the other faults
+// are those of the grown schedule of this seed.
+pool_schedule_result run_deadly_pool_schedule(std::uint64_t seed, bool trace);
+
 // Collects the result of a run that has reached its end.
 pool_schedule_result collect_result(pool_simulation& simulation);
 
--- a/harness/pool_schedule_grown.cpp
+++ b/harness/pool_schedule_grown.cpp
@@ -18,6 +18,8 @@
 constexpr microseconds quiet_time{9000000}; // for retries and for the end of the longest jobs
 constexpr std::int64_t min_caller_wait_ms = 3000;
 constexpr std::int64_t max_caller_wait_ms = 8000;
+// The same for the jobs of run_deadly_pool_schedule(), whose draws do not change those of the rest.
+constexpr std::uint64_t deadly_seed_salt = 0xdeadULL;
 // Makes the random draws of the schedule differ from those of the simulation with the same seed.
 constexpr std::uint64_t seed_salt = 0x96047ULL;
 
@@ -305,6 +307,37 @@
 
 } // namespace
 
+pool_schedule_result run_deadly_pool_schedule(std::uint64_t seed, bool trace)
+{
+    grown_scheduler scheduler(seed);
+    auto settings = scheduler.draw_settings(seed);
+    // As on the platform: one submission sees at most two crashes.
+    settings.caller_wait = milliseconds{1500};
+    settings.max_calls = 12;
+    pool_simulation simulation(settings);
+    simulation.trace = trace;
+    scheduler.schedule_run(simulation);
+    std::mt19937_64 random(seed ^ deadly_seed_salt);
+    const auto draw = [&](std::int64_t min_value, std::int64_t max_value)
+    { return std::uniform_int_distribution<std::int64_t>(min_value, max_value)(random); };
+    simulation.set_crashed_worker_downtime(milliseconds{draw(300, 8000)});
+    const auto jobs = draw(1, 3);
+    for (std::int64_t i = 0; i < jobs; ++i)
+    {
+        const auto id = "deadly" + std::to_string(i);
+        const auto count = static_cast<std::uint32_t>(draw(1, 8));
+        const auto host = static_cast<std::uint32_t>(draw(0, simulation.host_count() - 1));
+        const auto time = milliseconds{draw(60, 900)};
+        simulation.make_task_deadly(id, static_cast<std::uint32_t>(draw(0, count - 1)));
+        simulation.at(startup_time + microseconds{draw(0, load_time.count())},
+                      [&simulation, id, count, host, time] {
+                          simulation.submit(host, id, count, {6400, 64, 0}, time, true);
+                      });
+    }
+    simulation.run_until(startup_time + load_time + quiet_time + milliseconds{15000});
+    return collect_result(simulation);
+}
+
 pool_schedule_result run_grown_pool_schedule(std::uint64_t seed, bool trace)
 {
     grown_scheduler scheduler(seed);
--- a/harness/pool_simulation.hpp
+++ b/harness/pool_simulation.hpp
@@ -91,6 +91,19 @@
         return crashes == m_crashes.end() ? 0 : crashes->second;
     }
 
+    // Returns the highest of these numbers.
+    std::uint32_t max_crashes_by_task() const
+    {
+        std::uint32_t highest = 0;
+        for (const auto& [task, crashes] : m_crashes)
+            highest = std::max(highest, crashes);
+        return highest;
+    }
+    void set_crashed_worker_downtime(milliseconds downtime)
+    {
+        m_settings.crashed_worker_downtime = downtime;
+    }
+
     std::uint32_t centre_count() const { return m_settings.data_centres; }
     std::uint32_t host_count() const { return static_cast<std::uint32_t>(m_hosts.size()); }
     // Terminates the host without notice. The connections of its callers break.
--- a/harness/pool_soak_main.cpp
+++ b/harness/pool_soak_main.cpp
@@ -1,8 +1,9 @@
 // egret-pool-soak runs random schedules of pooled hosts and workers.
 //
-//     egret-pool-soak --first 1 --seeds 500 [--grown] [--trace]
+//     egret-pool-soak --first 1 --seeds 500 [--grown | --deadly] [--trace]
 //
-// With --grown it runs schedules of larger deployments with the faults seen on the platform. If
+// With --grown it runs schedules of larger deployments with the faults seen on the platform, with
+// --deadly the same with tasks that crash their workers. If
 // --first is absent, it draws the first seed at random and prints it. The exit code is 1 if a run
 // violated an invariant.
 
@@ -20,28 +21,35 @@
                                                 "the first seed; 0 draws one at random")(
         "seeds", po::value(&seeds)->default_value(200), "number of schedules to run")(
         "grown", "run larger deployments with the faults seen on the platform")(
-        "trace", "print every event");
+        "deadly", "the same with tasks that crash their workers")("trace", "print every event");
     po::variables_map given;
     if (const auto code = egretledge::read_options(argc, argv, options, given))
         return *code;
     first = egretledge::harness::first_seed(first);
-    const auto run = given.contains("grown") ? egretledge::harness::run_grown_pool_schedule
-                                             : egretledge::harness::run_pool_schedule;
+    const auto run = given.contains("deadly")  ? egretledge::harness::run_deadly_pool_schedule
+                     : given.contains("grown") ? egretledge::harness::run_grown_pool_schedule
+                                               : egretledge::harness::run_pool_schedule;
     std::size_t calls = 0;
     std::size_t complete = 0;
     std::size_t starts = 0;
     std::size_t failed_runs = 0;
+    std::map<std::uint32_t, std::size_t> schedules_by_crashes;
     for (std::uint64_t seed = first; seed < first + seeds; ++seed)
     {
         const auto result = run(seed, given.contains("trace"));
         calls += result.calls;
         complete += result.complete;
         starts += result.starts;
+        ++schedules_by_crashes[result.max_crashes_by_task];
         failed_runs += result.violations.empty() ? 0 : 1;
         for (const auto& violation : result.violations)
             std::cout << "seed " << seed << ": " << violation << '\n';
     }
     std::cout << seeds << " schedules, " << calls << " calls, " << complete << " complete, "
               << starts << " starts, " << failed_runs << " with violations\n";
+    if (given.contains("deadly"))
+        for (const auto& [crashes, schedules] : schedules_by_crashes)
+            std::cout << schedules << " schedules with at most " << crashes
+                      << " workers crashed by one task\n";
     return failed_runs == 0 ? 0 : 1;
 }
--- a/src/pool/crash_record.cpp
+++ b/src/pool/crash_record.cpp
@@ -32,14 +32,17 @@
 }
 
 void crash_record::set(microseconds now, std::uint64_t job, const crash_id& id, crash_state state,
-                       bool own)
+                       bool own, bool in_doubt)
 {
     auto& crashes = m_jobs[job];
     auto found = std::find_if(crashes.begin(), crashes.end(),
                               [&](const crash& entry) { return entry.id == id; });
     if (found == crashes.end())
-        found = crashes.insert(crashes.end(), crash{id, state, own, now});
-    *found = {id, state, own || found->own, now};
+        found = crashes.insert(crashes.end(), crash{id, state, own, in_doubt, now});
+    // A second report on the same run may know of the answer to its start; another run may follow
+    // once the suspicion is cleared.
+    const bool same_run = found->state != crash_state::cleared;
+    *found = {id, state, own || found->own, in_doubt && (!same_run || found->in_doubt), now};
     m_changes.push_back({now, job, id});
     if (state == crash_state::suspected)
         m_suspected_workers[id.worker].push_back(job);
@@ -47,17 +50,17 @@
 }
 
 void crash_record::suspect(microseconds now, const task_name& task, const std::string& worker,
-                           std::uint64_t start_time_ms)
+                           std::uint64_t start_time_ms, bool in_doubt)
 {
     set(now, hash_of(task.job), {task.step, task.index, hash_of(worker), start_time_ms},
-        crash_state::suspected, true);
+        crash_state::suspected, true, in_doubt);
 }
 
 void crash_record::confirm(microseconds now, const task_name& task, const std::string& worker,
-                           std::uint64_t start_time_ms)
+                           std::uint64_t start_time_ms, bool in_doubt)
 {
     set(now, hash_of(task.job), {task.step, task.index, hash_of(worker), start_time_ms},
-        crash_state::confirmed, true);
+        crash_state::confirmed, true, in_doubt);
 }
 
 crash_record::resolved crash_record::worker_answered(microseconds now, const std::string& worker,
@@ -113,7 +116,7 @@
             open = open || state == crash_state::suspected;
             if (state == crash_state::suspected)
                 continue;
-            set(now, job, entry.id, state, true);
+            set(now, job, entry.id, state, true, entry.in_doubt);
             ++(state == crash_state::confirmed ? sum.confirmed : sum.cleared);
         }
         if (open)
@@ -134,7 +137,7 @@
     const auto* known = find(row.job(), id);
     // A suspicion says nothing new about a crash that is known, and may be older.
     if (known == nullptr || (state != crash_state::suspected && known->state != state))
-        set(now, row.job(), id, state, false);
+        set(now, row.job(), id, state, false, row.in_doubt());
 }
 
 void crash_record::write(std::uint64_t job, const crash& known, wire::PoolCrash& out)
@@ -145,32 +148,41 @@
     out.set_worker(known.id.worker);
     out.set_start_time_ms(known.id.start_time_ms);
     out.set_state(static_cast<std::uint32_t>(known.state));
+    out.set_in_doubt(known.in_doubt);
 }
 
 crash_verdict crash_record::verdict(const std::vector<crash>& crashes, std::uint32_t step,
-                                    std::uint32_t index, std::uint32_t max_crashes)
+                                    std::uint32_t index) const
 {
     std::uint32_t confirmed = 0;
+    std::uint32_t confirmed_started = 0;
     std::uint32_t all = 0;
+    std::uint32_t all_started = 0;
     for (const auto& entry : crashes)
     {
         if (entry.id.step != step || entry.id.index != index || entry.state == crash_state::cleared)
             continue;
+        const bool known = entry.state == crash_state::confirmed;
         ++all;
-        confirmed += entry.state == crash_state::confirmed ? 1 : 0;
+        all_started += entry.in_doubt ? 0 : 1;
+        confirmed += known ? 1 : 0;
+        confirmed_started += known && !entry.in_doubt ? 1 : 0;
     }
-    return confirmed >= max_crashes ? crash_verdict::deadly
-           : all >= max_crashes     ? crash_verdict::undecided
-           : all > 0                ? crash_verdict::suspect
-                                    : crash_verdict::none;
+    const auto reached = [&](std::uint32_t started, std::uint32_t with_doubtful) {
+        return started >= m_settings.max_crashes ||
+               with_doubtful >= m_settings.max_crashes_in_doubt;
+    };
+    return reached(confirmed_started, confirmed) ? crash_verdict::deadly
+           : reached(all_started, all)           ? crash_verdict::undecided
+           : all > 0                             ? crash_verdict::suspect
+                                                 : crash_verdict::none;
 }
 
 crash_verdict crash_record::verdict(const task_name& task) const
 {
     const auto known = m_jobs.empty() ? m_jobs.end() : m_jobs.find(hash_of(task.job));
-    return known == m_jobs.end()
-               ? crash_verdict::none
-               : verdict(known->second, task.step, task.index, m_settings.max_crashes);
+    return known == m_jobs.end() ? crash_verdict::none
+                                 : verdict(known->second, task.step, task.index);
 }
 
 crash_verdict crash_record::verdict(const std::string& job) const
@@ -179,8 +191,7 @@
     const auto known = m_jobs.empty() ? m_jobs.end() : m_jobs.find(hash_of(job));
     if (known != m_jobs.end())
         for (const auto& entry : known->second)
-            highest = std::max(highest, verdict(known->second, entry.id.step, entry.id.index,
-                                                m_settings.max_crashes));
+            highest = std::max(highest, verdict(known->second, entry.id.step, entry.id.index));
     return highest;
 }
 
--- a/src/pool/crash_record.hpp
+++ b/src/pool/crash_record.hpp
@@ -41,6 +41,9 @@
     // A task is given up after it has crashed this many workers; the platform permits that from two
     // on.
     std::uint32_t max_crashes = 2;
+    // A start without an answer may have arrived after another task had crashed the worker, so it
+    // counts only as one of this many. The platform permits five starts.
+    std::uint32_t max_crashes_in_doubt = 3;
 };
 
 // What is known about the workers that a task was on.
@@ -60,12 +63,13 @@
     explicit crash_record(crash_record_settings settings) : m_settings(settings) {}
 
     // Records that the worker, in the incarnation that started at `start_time_ms`, fell silent
-    // while the task may have run on it.
+    // while the task may have run on it. `in_doubt`: it had not answered the start.
     void suspect(microseconds now, const task_name& task, const std::string& worker,
-                 std::uint64_t start_time_ms);
-    // Records that this incarnation of the worker ended while the task was on it.
+                 std::uint64_t start_time_ms, bool in_doubt);
+    // Records that this incarnation of the worker ended while the task was, or may have been, on
+    // it.
     void confirm(microseconds now, const task_name& task, const std::string& worker,
-                 std::uint64_t start_time_ms);
+                 std::uint64_t start_time_ms, bool in_doubt);
     // Numbers of suspicions that were resolved.
     struct resolved
     {
@@ -135,7 +139,8 @@
     {
         crash_id id;
         crash_state state = crash_state::suspected;
-        bool own = false; // seen by this host, not announced by a peer
+        bool own = false;      // seen by this host, not announced by a peer
+        bool in_doubt = false; // the worker had not answered the start
         microseconds changed_at{0};
     };
     struct change_entry
@@ -147,14 +152,15 @@
 
     static std::uint64_t hash_of(const std::string& text);
     const crash* find(std::uint64_t job, const crash_id& id) const;
-    void set(microseconds now, std::uint64_t job, const crash_id& id, crash_state state, bool own);
+    void set(microseconds now, std::uint64_t job, const crash_id& id, crash_state state, bool own,
+             bool in_doubt);
     // Sets each suspicion about the worker to the state that `new_state` returns.
     template <class NewState>
     resolved resolve(microseconds now, std::uint64_t worker, const NewState& new_state);
     void on_announced(microseconds now, const wire::PoolCrash& row);
     static void write(std::uint64_t job, const crash& known, wire::PoolCrash& out);
-    static crash_verdict verdict(const std::vector<crash>& crashes, std::uint32_t step,
-                                 std::uint32_t index, std::uint32_t max_crashes);
+    crash_verdict verdict(const std::vector<crash>& crashes, std::uint32_t step,
+                          std::uint32_t index) const;
 
     crash_record_settings m_settings;
     boost::unordered_flat_map<std::uint64_t, std::vector<crash>> m_jobs; // by the hash of their id
--- a/src/pool/held_worker.cpp
+++ b/src/pool/held_worker.cpp
@@ -126,7 +126,7 @@
     EGRET_CHECK(usable() && demand.fits(free()),
                 "a start needs a usable worker with enough free resources");
     run_state state;
-    state.view = {run, demand, now, 0, now, false};
+    state.view = {run, demand, now, 0, now, false, false};
     state.fence = m_fence;
     state.start_time_ms = m_start_time_ms;
     m_runs.emplace(run, state);
@@ -315,6 +315,7 @@
         if (open)
         {
             entry->second.at = stage::running;
+            entry->second.view.confirmed = true;
             entry->second.confirmed_at = now;
         }
         return;
@@ -356,6 +357,7 @@
     if (state.at == stage::starting)
     {
         state.at = stage::running;
+        state.view.confirmed = true;
         state.confirmed_at = now;
     }
     state.start_time_ms = m_start_time_ms;
@@ -398,54 +400,41 @@
             continue;
         const auto run = here->first;
         const bool ours = !state.foreign;
-        const auto ran = now - state.view.sent;
-        const auto start_time_ms = state.start_time_ms;
+        // What an incarnation that has ended had started is not in the lists of the next one.
+        const bool crashed = state.start_time_ms != m_start_time_ms;
+        const auto end = make_end(now, state, crashed ? run_end::crashed : run_end::lapsed);
         remove_run(here);
         if (!ours)
             continue;
-        // What an incarnation that has ended had started is not in the lists of the next one.
-        if (start_time_ms != m_start_time_ms)
-            events.push_back({worker_event_kind::ended,
-                              m_entry.id,
-                              run,
-                              run_end::crashed,
-                              {},
-                              ran,
-                              start_time_ms,
-                              false});
-        else if (never_started)
-            events.push_back({worker_event_kind::not_started,
-                              m_entry.id,
-                              run,
-                              {},
-                              order_result::no_answer,
-                              {},
-                              0,
-                              false});
+        if (never_started && !crashed)
+            events.push_back(
+                {worker_event_kind::not_started, m_entry.id, run, {}, order_result::no_answer, {}});
         else
-            events.push_back({worker_event_kind::ended,
-                              m_entry.id,
-                              run,
-                              run_end::lapsed,
-                              {},
-                              ran,
-                              start_time_ms,
-                              false});
+            events.push_back(end);
     }
 }
 
+worker_event held_worker::make_end(microseconds now, const run_state& state, run_end end) const
+{
+    worker_event event;
+    event.kind = worker_event_kind::ended;
+    event.worker = m_entry.id;
+    event.run = state.view.run;
+    event.end = end;
+    event.ran = now - state.view.sent;
+    event.start_time_ms = state.start_time_ms;
+    event.in_doubt = !state.view.confirmed;
+    return event;
+}
+
 void held_worker::end_silent_runs(microseconds now, worker_events& events)
 {
     for (const auto& [ref, state] : m_runs)
         if (!state.foreign)
-            events.push_back({worker_event_kind::ended,
-                              m_entry.id,
-                              ref,
-                              run_end::lapsed,
-                              {},
-                              now - state.view.sent,
-                              state.start_time_ms,
-                              true});
+        {
+            events.push_back(make_end(now, state, run_end::lapsed));
+            events.back().silent = true;
+        }
     m_runs.clear();
     m_used = {};
 }
--- a/src/pool/held_worker.hpp
+++ b/src/pool/held_worker.hpp
@@ -58,6 +58,7 @@
     // whether the run lapsed because that worker fell silent, so that it may have crashed.
     std::uint64_t start_time_ms = 0;
     bool silent = false;
+    bool in_doubt = false; // the worker had not answered the start
 };
 using worker_events = std::vector<worker_event>;
 
@@ -74,6 +75,7 @@
         std::uint32_t percent = 0;
         microseconds percent_at{0};
         bool stopping = false;
+        bool confirmed = false; // the worker has reported that it started
     };
 
     const worker_entry& entry() const { return m_entry; }
@@ -175,6 +177,7 @@
     // Resolves runs that the hold's list does not contain: never started, or ended.
     void resolve_unlisted_runs(microseconds now, const open_order& order, const worker_reply& reply,
                                worker_events& events);
+    worker_event make_end(microseconds now, const run_state& state, run_end end) const;
     // Reports all runs of a silent worker as ended.
     void end_silent_runs(microseconds now, worker_events& events);
     void remove_run(std::map<run_ref, run_state>::iterator entry);
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -347,12 +347,13 @@
     if ((!crashed && !event.silent) || (worker != m_workers.end() && worker->second.leaving))
         return;
     if (crashed)
-        m_crashes.confirm(now, event.run.task, event.worker, event.start_time_ms);
+        m_crashes.confirm(now, event.run.task, event.worker, event.start_time_ms, event.in_doubt);
     else
-        m_crashes.suspect(now, event.run.task, event.worker, event.start_time_ms);
+        m_crashes.suspect(now, event.run.task, event.worker, event.start_time_ms, event.in_doubt);
     out.push_back(actions::log_event{
         true, "event=worker_lost_under run=" + run_text(event.run) + " worker=" + event.worker +
                   " crashed=" + (crashed ? "true" : "unknown") +
+                  " start=" + (event.in_doubt ? "unanswered" : "answered") +
                   " verdict=" + std::string(name_of(m_crashes.verdict(event.run.task)))});
 }
 
@@ -489,23 +490,22 @@
         true, "event=worker_lost worker=" + event.worker +
                   " reason=" + std::string(name_of(event.reason)) +
                   " runs=" + std::to_string(record->second.worker.runs().size())});
-    std::vector<run_ref> runs;
-    for (const auto& view : record->second.worker.runs())
-        runs.push_back(view.run);
+    const auto runs = record->second.worker.runs();
     const bool leaving = record->second.leaving;
     const auto start_time_ms = record->second.worker.start_time_ms();
     remove_worker(event.worker);
     m_losses.push_back(event.worker);
     const bool terminated = event.reason == order_result::other_lifetime;
     const auto end = leaving ? run_end::lapsed : run_end::crashed;
-    for (const auto& run : runs)
+    for (const auto& view : runs)
     {
+        const auto& run = view.run;
         if (terminated)
         {
-            on_event(
-                now,
-                {worker_event_kind::ended, event.worker, run, end, {}, {}, start_time_ms, false},
-                out);
+            worker_event ended{worker_event_kind::ended, event.worker, run, end, {}, {}};
+            ended.start_time_ms = start_time_ms;
+            ended.in_doubt = !view.confirmed;
+            on_event(now, ended, out);
             continue;
         }
         // The new holder stops the run; at the latest it ends when its lease expires.
