Run a task alone once a worker has crashed under it

Cause: a task that was on a crashed worker may be at fault or may only have been beside the one that is. Placed among others again, the first takes further runs down, and the second is suspected twice and its job given up.

Change: such a task is placed only on an idle worker, and nothing beside it. If none is idle, one is reserved, at most a quarter of the pool's workers at a time; a task that waits for it does not hold up the job's others. Reserved workers announce no free capacity and no free slots.

Not shown: how much capacity reservations cost a pool with many suspects.

--- a/harness/pool_simulation.cpp
+++ b/harness/pool_simulation.cpp
@@ -328,6 +328,7 @@
 {
     if (m_workers[index]->up())
         m_workers[index]->crash(m_now);
+    m_broken_runs = 0;
 }
 
 void pool_simulation::restart_worker(std::uint32_t index)
@@ -821,12 +822,16 @@
     if (end == run_end::failed)
         ++job.failures[run.task];
     if (end == run_end::broken) // the model ends runs so only at a crash
+    {
         ++job.crashes[run.task];
+        ++m_broken_runs;
+    }
 }
 
 void pool_simulation::on_crashed(const std::string& worker, const run_ref& run)
 {
     ++m_crashes[run.task];
+    m_runs_lost[run.task].push_back(std::exchange(m_broken_runs, 0) - 1);
     print(worker + " crashed by " + run.task.job + "." + std::to_string(run.task.index));
     for (std::uint32_t index = 0; index < worker_count(); ++index)
         if (m_workers[index]->entry().id == worker)
--- a/harness/pool_simulation.hpp
+++ b/harness/pool_simulation.hpp
@@ -99,6 +99,12 @@
             highest = std::max(highest, crashes);
         return highest;
     }
+    // Returns, for each of these crashes, how many runs of other tasks ended with the worker.
+    std::vector<std::uint32_t> runs_lost_with(const std::string& id, std::uint32_t index) const
+    {
+        const auto lost = m_runs_lost.find({id, 0, 0, index});
+        return lost == m_runs_lost.end() ? std::vector<std::uint32_t>{} : lost->second;
+    }
     void set_crashed_worker_downtime(milliseconds downtime)
     {
         m_settings.crashed_worker_downtime = downtime;
@@ -284,6 +290,8 @@
     std::set<pool::task_name> m_deadly_tasks;
     std::map<pool::task_name, std::uint32_t> m_crashes;             // workers that a task crashed
     std::map<pool::task_name, std::uint32_t> m_starts_after_budget; // after its third crash
+    std::map<pool::task_name, std::vector<std::uint32_t>> m_runs_lost;
+    std::uint32_t m_broken_runs = 0; // of the present crash
     std::vector<call_record> m_calls;
     std::vector<std::string> m_violations;
     std::size_t m_starts = 0;
--- a/src/pool/admission.cpp
+++ b/src/pool/admission.cpp
@@ -87,7 +87,7 @@
         // Before the first placement the size of tasks is not known: a worker counts as one slot.
         const auto usual = std::max<std::int64_t>(
             1, m_usual_demand.cpu > 0 ? m_usual_demand.cpu : record.worker.entry().capacity.cpu);
-        const auto free_slots = record.worker.free().cpu / usual;
+        const auto free_slots = record.reserved_for ? 0 : record.worker.free().cpu / usual;
         schedule.add_slots(now, static_cast<std::uint32_t>(std::clamp<std::int64_t>(
                                     free_slots, 0, max_free_slots_per_worker)));
     }
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -8,6 +8,11 @@
 // that take two fifths of a worker, pairing a large task with a small one keeps more tasks running
 // than spreading them. The trade-off is that a task may go to a slower worker because it fits there
 // better.
+//
+// A task under which a worker crashed or fell silent runs on a worker of its own, so that it takes
+// no other run down with it, and so that a task that only shared a worker with a deadly one is
+// cleared by its next run. If no worker is idle, one is reserved for it: the trade-off is the
+// capacity that is left unused while the runs on it end, hence the limit on reserved workers.
 
 #include "pool/worker_pool.hpp"
 #include <algorithm>
@@ -22,6 +27,12 @@
 constexpr double off_rack_factor = 2;          // a task runs longer outside its preferred rack
 constexpr std::uint32_t max_scanned_jobs = 64; // a round ends after so many found no worker
 
+bool has_label(const worker_entry& registered, const std::string& label)
+{
+    return std::find(registered.labels.begin(), registered.labels.end(), label) !=
+           registered.labels.end();
+}
+
 } // namespace
 
 bool worker_pool::accepts(const worker_record& record, microseconds now) const
@@ -38,7 +49,7 @@
     const auto usual = std::max<std::int64_t>(1, m_usual_demand.cpu);
     std::int64_t sum = 0;
     for (const auto& [id, record] : m_workers)
-        if (accepts(record, now))
+        if (accepts(record, now) && !record.reserved_for)
             sum += record.worker.free().cpu / usual * usual;
     return sum;
 }
@@ -64,12 +75,9 @@
                                                        microseconds now)
 {
     const auto& step = job.request.steps[task.step];
+    const task_name name{job.request.id, 0, task.step, task.index};
+    const bool alone = m_crashes.verdict(name) == crash_verdict::suspect;
     const auto time = static_cast<double>(expected_run_time(job.request, step).count());
-    const auto has_label = [](const worker_entry& registered, const std::string& label)
-    {
-        return std::find(registered.labels.begin(), registered.labels.end(), label) !=
-               registered.labels.end();
-    };
     const auto placed_siblings = [&](const std::string& worker)
     {
         return static_cast<std::uint32_t>(std::count_if(job.tasks.begin(), job.tasks.end(),
@@ -89,6 +97,9 @@
         if (!accepts(record, now) || registered.service != job.request.terms.service ||
             record.first_held_version > visible_version)
             continue;
+        if ((record.reserved_for && *record.reserved_for != name) ||
+            (alone && !record.worker.idle()))
+            continue;
         const auto free = record.worker.free();
         if (!step.demand.fits(free))
             continue;
@@ -108,9 +119,58 @@
             best_score = score;
         }
     }
+    if (alone && best != nullptr)
+        best->reserved_for = name;
+    else if (alone)
+        reserve_worker(job, name, visible_version, now);
     return best;
 }
 
+void worker_pool::reserve_worker(const open_job& job, const task_name& name,
+                                 std::uint64_t visible_version, microseconds now)
+{
+    const auto& step = job.request.steps[name.step];
+    std::size_t reserved = 0;
+    worker_record* best = nullptr;
+    for (auto& [id, record] : m_workers)
+    {
+        const auto& registered = record.worker.entry();
+        if (record.reserved_for == name)
+            return;
+        reserved += record.reserved_for ? 1 : 0;
+        if (record.reserved_for || !accepts(record, now) ||
+            registered.service != job.request.terms.service ||
+            record.first_held_version > visible_version || !step.demand.fits(registered.capacity) ||
+            (!step.required_label.empty() && !has_label(registered, step.required_label)))
+            continue;
+        if (best == nullptr || record.worker.runs().size() < best->worker.runs().size())
+            best = &record;
+    }
+    const auto limit =
+        std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(m_workers.size()) *
+                                                          m_settings.max_reserved_share));
+    if (best != nullptr && reserved < limit)
+        best->reserved_for = name;
+}
+
+void worker_pool::release_reservations(microseconds now)
+{
+    for (auto& [id, record] : m_workers)
+    {
+        if (!record.reserved_for)
+            continue;
+        const auto& name = *record.reserved_for;
+        task_state* task = nullptr;
+        const bool waits = find(name, task) != nullptr && task->stage == task_stage::waiting &&
+                           m_crashes.verdict(name) == crash_verdict::suspect &&
+                           accepts(record, now);
+        const auto runs = record.worker.runs();
+        if (!waits && std::none_of(runs.begin(), runs.end(),
+                                   [&](const auto& view) { return view.run.task == name; }))
+            record.reserved_for.reset();
+    }
+}
+
 std::vector<worker_pool::open_job*> worker_pool::placement_order(microseconds now)
 {
     std::vector<open_job*> jobs;
@@ -133,6 +193,7 @@
 void worker_pool::place(microseconds now, action_list& out)
 {
     end_crashing_jobs(now, out);
+    release_reservations(now);
     std::uint32_t scanned = 0;
     bool late_waits = false;
     for (auto* job : placement_order(now))
@@ -147,17 +208,25 @@
         m_late_jobs_served_at = now;
 }
 
-// Returns false if no worker could run one of the tasks.
+// Returns false if no worker could run one of the tasks. One that waits for a worker of its own
+// does not hold up the others.
 bool worker_pool::place_tasks(microseconds now, open_job& job, action_list& out)
 {
     const auto visible_version = job.caller.host.empty() || !m_visible_version
                                      ? m_held_version
                                      : m_visible_version(job.caller);
+    bool complete = true;
     for (auto& task : job.tasks)
     {
         if (task.stage != task_stage::waiting || !eligible(job, task))
             continue;
         auto* record = choose_worker(job, task, visible_version, now);
+        if (record == nullptr &&
+            m_crashes.verdict({job.request.id, 0, task.step, task.index}) == crash_verdict::suspect)
+        {
+            complete = false;
+            continue;
+        }
         if (record == nullptr)
             return false;
         const run_ref run{{job.request.id, 0, task.step, task.index}, task.next_run++};
@@ -171,7 +240,7 @@
         record->worker.start(now, run, job.request.steps[task.step].demand, job.request.payload,
                              m_next_request, out);
     }
-    return true;
+    return complete;
 }
 
 } // namespace egretledge::pool
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -46,6 +46,9 @@
     milliseconds lossy_period{2000};
     // The shortest Retry-After sent to callers: the unit of the header is a second.
     milliseconds min_retry_after{1000};
+    // At most this share of the workers, but one of them in any case, is reserved for tasks that
+    // have to run alone: a crash makes as many such tasks as the worker had runs, 2 to 8.
+    double max_reserved_share = 0.25;
 };
 
 // The call router that waits for a job, and the offer by which it submitted the job. The host name
@@ -210,6 +213,9 @@
         milliseconds quarantine{0}; // length of the latest one; doubled by the next
         bool probation = false;     // runs one task at a time until one is done
         bool silence_logged = false;
+        // A task that runs here alone, or will once the worker is idle, since a worker crashed or
+        // fell silent under it. Nothing else is placed here.
+        std::optional<task_name> reserved_for{};
     };
 
     void log_silence(microseconds now, const std::string& worker, worker_record& record,
@@ -222,6 +228,12 @@
     // that were held in version `visible_version` already.
     worker_record* choose_worker(const open_job& job, const task_state& task,
                                  std::uint64_t visible_version, microseconds now);
+    // Reserves a busy worker for a task that has to run alone, unless it has one or too many are
+    // reserved.
+    void reserve_worker(const open_job& job, const task_name& name, std::uint64_t visible_version,
+                        microseconds now);
+    // Ends the reservations of tasks that neither wait nor run here.
+    void release_reservations(microseconds now);
     // Returns true if every step fits on some held worker of the service when that is idle.
     bool fits_somewhere(const job_request& job) const;
     void place(microseconds now, action_list& out);
--- a/tests/pool_crash_test.cpp
+++ b/tests/pool_crash_test.cpp
@@ -161,6 +161,39 @@
     }
 }
 
+// Guards against a suspected task taking innocent runs down with its second worker, and against
+// tasks beside it being suspected again, although no worker is idle.
+BOOST_AUTO_TEST_CASE(a_suspected_task_shares_no_worker_even_in_a_busy_pool)
+{
+    std::size_t first_lost = 0;
+    std::size_t later_crashes = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        auto settings = platform_settings(seed);
+        settings.data_centres = 1;
+        pool_simulation sim(settings);
+        submit_load(sim, 2600, 12000, 45);
+        sim.make_task_deadly("deadly", 0);
+        sim.at(at_ms(4000), [&] { sim.submit(0, "deadly", 1, usual_task, 200ms, true); });
+        sim.run_until(at_ms(30000));
+        const auto lost = sim.runs_lost_with("deadly", 0);
+        BOOST_REQUIRE(!lost.empty());
+        first_lost += lost.front();
+        later_crashes += lost.size() - 1;
+        for (std::size_t crash = 1; crash < lost.size(); ++crash)
+            BOOST_TEST(lost[crash] == 0U);
+        BOOST_TEST((sim.last_call("deadly")->answer.kind == answer_kind::task_failed));
+        // The rest of the pool is too small for some jobs while two of its workers are down.
+        for (const auto& call : sim.calls())
+            if (call.job != "deadly" && call.answer.kind != answer_kind::over_capacity)
+                BOOST_TEST((sim.last_call(call.job)->answer.kind == answer_kind::ok),
+                           call.job << " " << name_of(sim.last_call(call.job)->answer.kind));
+        check_rules(sim);
+    }
+    BOOST_TEST(first_lost > 0U); // the pool is busy
+    BOOST_TEST(later_crashes > 0U);
+}
+
 namespace
 {
 
@@ -296,12 +329,15 @@
     BOOST_TEST((record.verdict(sibling) == crash_verdict::undecided));
 }
 
-// Random load and faults with tasks that crash their workers. The seeds that once failed: 10, 18,
-// 41 and 50 told callers of other jobs "failed", since two starts that had been sent to crashed
-// workers counted as crashes under them.
+// Random load and faults with tasks that crash their workers. Seeds 10, 18, 41 and 50 told callers
+// of other jobs "failed" while unanswered starts counted like answered ones, seeds 30 and 166 while
+// a suspected task shared its worker.
 BOOST_AUTO_TEST_CASE(random_schedules_with_deadly_tasks_keep_every_rule)
 {
-    for (const std::uint64_t seed : {10, 18, 41, 50})
+    std::vector<std::uint64_t> schedules{166};
+    for (std::uint64_t seed = 1; seed <= 60; ++seed)
+        schedules.push_back(seed);
+    for (const auto seed : schedules)
     {
         const auto result = run_deadly_pool_schedule(seed, false);
         for (const auto& violation : result.violations)
