--- a/src/io/edge_metrics.cpp
+++ b/src/io/edge_metrics.cpp
@@ -108,7 +108,10 @@
               { return static_cast<double>(host.workers().expected_wait(now.steady).count()); }},
     gauge_row{"egretledge_started_jobs_known", "Jobs that are known to have started lately",
               [](const pool::pool_host& host, instant)
-              { return static_cast<double>(host.started().known()); }}};
+              { return static_cast<double>(host.started().known()); }},
+    gauge_row{"egretledge_task_crashes_known", "Crashes and silences of workers under tasks, kept",
+              [](const pool::pool_host& host, instant)
+              { return static_cast<double>(host.workers().crashes().known()); }}};
 
 } // namespace
 
