Count a crash although another host took the worker first

Cause: a holder that learns by a refused token that another host has taken a worker forgot that the worker had been silent. If it had crashed and restarted in between, nobody counted that crash (deadly schedule 19: a third worker).

Change: the runs of a worker that was silent when it was lost count as suspicions. The new holder's replies or the registry resolve them.

--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -492,6 +492,7 @@
                   " runs=" + std::to_string(record->second.worker.runs().size())});
     const auto runs = record->second.worker.runs();
     const bool leaving = record->second.leaving;
+    const bool silent = !leaving && record->second.worker.silent_since().count() != 0;
     const auto start_time_ms = record->second.worker.start_time_ms();
     remove_worker(event.worker);
     m_losses.push_back(event.worker);
@@ -500,14 +501,18 @@
     for (const auto& view : runs)
     {
         const auto& run = view.run;
+        worker_event ended{worker_event_kind::ended, event.worker, run, end, {}, {}};
+        ended.start_time_ms = start_time_ms;
+        ended.in_doubt = !view.confirmed;
         if (terminated)
         {
-            worker_event ended{worker_event_kind::ended, event.worker, run, end, {}, {}};
-            ended.start_time_ms = start_time_ms;
-            ended.in_doubt = !view.confirmed;
             on_event(now, ended, out);
             continue;
         }
+        // A worker that was silent before may have restarted: only the other host hears it now.
+        ended.end = run_end::lapsed;
+        ended.silent = silent;
+        record_crash(now, ended, out);
         // The new holder stops the run; at the latest it ends when its lease expires.
         const auto ended_at = now + m_settings.lost_run_timeout;
         if (const auto former = m_former.find(run.task.job);
--- a/tests/pool_crash_test.cpp
+++ b/tests/pool_crash_test.cpp
@@ -411,3 +411,10 @@
     BOOST_TEST(sim.worker(0).used().cpu == 0);
     check_rules(sim);
 }
+
+// Guards against a crash that nobody counts (deadly schedule 19): its holder finds that another
+// host has taken the worker since it restarted.
+BOOST_AUTO_TEST_CASE(a_crash_counts_although_another_host_took_the_worker_first)
+{
+    BOOST_TEST(run_deadly_pool_schedule(19, false).max_crashes_by_task <= 2U);
+}
