Announce crashes under tasks with the next timer

Change: a change that this host recorded makes its heartbeats due at once.

Ruled out: recording a silence before the lease has ended: it would catch hosts that die within 0.75 s of a crash, but each lost hold would suspect every run of its worker.

--- a/src/pool/crash_record.cpp
+++ b/src/pool/crash_record.cpp
@@ -44,6 +44,7 @@
     const bool same_run = found->state != crash_state::cleared;
     *found = {id, state, own || found->own, in_doubt && (!same_run || found->in_doubt), now};
     m_changes.push_back({now, job, id});
+    m_own_changes += own ? 1 : 0;
     if (state == crash_state::suspected)
         m_suspected_workers[id.worker].push_back(job);
     evict_expired(now);
--- a/src/pool/crash_record.hpp
+++ b/src/pool/crash_record.hpp
@@ -116,6 +116,8 @@
             --left;
         }
     }
+    // Number of changes that this host recorded and has to announce.
+    std::uint64_t own_changes() const { return m_own_changes; }
     // Number of crashes and suspicions kept.
     std::size_t known() const;
 
@@ -166,6 +168,7 @@
     boost::unordered_flat_map<std::uint64_t, std::vector<crash>> m_jobs; // by the hash of their id
     // The jobs with suspicions about a worker, by the hash of its id.
     boost::unordered_flat_map<std::uint64_t, std::vector<std::uint64_t>> m_suspected_workers;
+    std::uint64_t m_own_changes = 0;
     std::deque<change_entry> m_changes; // in order of time; only the latest of a crash counts
 };
 
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -111,6 +111,9 @@
                                                        ? m_settings.started.retention_period
                                                        : milliseconds{0}));
     m_last_tick = now.steady;
+    if (std::exchange(m_announced_crashes, m_pool.crashes().own_changes()) !=
+        m_pool.crashes().own_changes())
+        m_membership.expedite_heartbeats();
     m_membership.tick(
         now.steady,
         [&]
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -157,6 +157,7 @@
     microseconds m_next_assignment{0};
     microseconds m_last_tick{-1};          // -1: none yet
     std::uint64_t m_announced_version = 0; // held_version() at the last acquire_and_release()
+    std::uint64_t m_announced_crashes = 0; // crash_record::own_changes() at the last tick
     bool m_leaving = false;
     microseconds m_leaving_since{0};
 };
