--- a/src/pool/admission.cpp
+++ b/src/pool/admission.cpp
@@ -87,7 +87,7 @@
         // Before the first placement the size of tasks is not known: a worker counts as one slot.
         const auto usual = std::max<std::int64_t>(
             1, m_usual_demand.cpu > 0 ? m_usual_demand.cpu : record.worker.entry().capacity.cpu);
-        const auto free_slots = record.worker.free().cpu / usual;
+        const auto free_slots = record.reserved_for ? 0 : record.worker.free().cpu / usual;
         schedule.add_slots(now, static_cast<std::uint32_t>(std::clamp<std::int64_t>(
                                     free_slots, 0, max_free_slots_per_worker)));
     }
@@ -257,6 +257,12 @@
     const auto& terms = job.request.terms;
     job.objective = job.arrived + time_allowed(terms, job.critical_path);
     job.deadline = job.arrived + microseconds{terms.wait};
+    if (const auto answer = answer_to(m_crashes.verdict(job.request.id)))
+    {
+        log_job(job, *answer, now, out);
+        m_results.push_back({caller, job.request.id, *answer, false});
+        return;
+    }
     if (auto refused = evaluate_admission(now, job))
     {
         const bool former_runs = ending(job.request.id);
--- a/src/pool/membership.hpp
+++ b/src/pool/membership.hpp
@@ -13,6 +13,7 @@
 // arrive, and each of these carries the withdrawal. After `max_withdrawal_age` a pool that has
 // heard none of them has cancelled the job by itself.
 
+#include "pool/crash_record.hpp"
 #include "pool/started_jobs.hpp"
 #include <deque>
 #include <set>
@@ -114,6 +115,7 @@
         std::vector<std::string> held;
         std::vector<std::string> unread;
         const started_jobs* started = nullptr; // null: none are announced
+        const crash_record* crashes = nullptr; // null: none are announced
     };
     // Sends the heartbeats that are due. `announce` is called only if there are any.
     void tick(microseconds now, const std::function<announcement()>& announce, action_list& out);
--- a/src/pool/peer_inbox.cpp
+++ b/src/pool/peer_inbox.cpp
@@ -1,5 +1,6 @@
 #include "pool/peer_inbox.hpp"
 #include <algorithm>
+#include <tuple>
 
 namespace egretledge::pool
 {
@@ -22,6 +23,27 @@
     return true;
 }
 
+// Returns true if `later` lists each crash of `earlier` in the same state. Long lists are not
+// compared.
+bool repeats_crashes(const wire::PoolBeat& earlier, const wire::PoolBeat& later)
+{
+    constexpr int max_compared = 64;
+    if (earlier.crashes_size() > max_compared || later.crashes_size() > max_compared)
+        return earlier.crashes_size() == 0;
+    const auto key = [](const wire::PoolCrash& row)
+    {
+        return std::tuple(row.job(), row.step(), row.index(), row.worker(), row.start_time_ms(),
+                          row.state());
+    };
+    return std::all_of(earlier.crashes().begin(), earlier.crashes().end(),
+                       [&](const auto& row)
+                       {
+                           return std::any_of(later.crashes().begin(), later.crashes().end(),
+                                              [&](const auto& other)
+                                              { return key(other) == key(row); });
+                       });
+}
+
 } // namespace
 
 bool supersedes(const wire::PoolBeat& later, const wire::PoolBeat& earlier,
@@ -36,7 +58,7 @@
            later.echoed_sequence() >= earlier.echoed_sequence() &&
            (later.with_held() || !earlier.with_held()) &&
            static_cast<std::size_t>(earlier.started_size()) < max_announced &&
-           is_subsequence(earlier.known(), later.known()) &&
+           is_subsequence(earlier.known(), later.known()) && repeats_crashes(earlier, later) &&
            is_subsequence(earlier.withdrawn(), later.withdrawn());
 }
 
