Keep the hosts of a test at their addresses, and test crashes in heartbeats

Cause: the hosts of pool_config_test were values in a vector that grows, while the components of a host refer to each other; the inbox had no test for crash lists.

Change: the test owns them through pointers; a heartbeat replaces one that lists a crash only if it lists it in the same state.

--- a/tests/peer_inbox_test.cpp
+++ b/tests/peer_inbox_test.cpp
@@ -195,6 +195,15 @@
     inbox.push(make_heartbeat({"h1", 1}, 1));
     inbox.push(make_heartbeat({"h1", 2}, 2));
     BOOST_TEST(inbox.waiting() == 2U);
+    // A crash that only the earlier heartbeat lists must not be lost with it.
+    auto with_crash = make_heartbeat({"h1", 1}, 1).pool_beat();
+    auto later = make_heartbeat({"h1", 1}, 2).pool_beat();
+    with_crash.add_crashes()->set_job(5);
+    BOOST_TEST(!supersedes(later, with_crash, max_announced));
+    later.add_crashes()->set_job(5);
+    BOOST_TEST(supersedes(later, with_crash, max_announced));
+    later.mutable_crashes(0)->set_state(1);
+    BOOST_TEST(!supersedes(later, with_crash, max_announced));
 }
 
 // The memory for waiting messages must have a bound in messages and in bytes.
--- a/tests/pool_config_test.cpp
+++ b/tests/pool_config_test.cpp
@@ -24,10 +24,10 @@
             settings.membership.self = {name_of_host(i), 1};
             settings.membership.data_centre = "dc" + std::to_string(i % 3);
             settings.membership.address = name_of_host(i);
-            m_members.push_back({pool_host(settings), {}, 0ms, 0, 0, {}, false, false});
+            m_members.emplace_back().host = std::make_unique<pool_host>(settings);
             for (std::uint32_t other = 0; other < count; ++other)
-                m_members.back().host.introduce(current(), name_of_host(other), name_of_host(other),
-                                                m_out);
+                m_members.back().host->introduce(current(), name_of_host(other),
+                                                 name_of_host(other), m_out);
             deliver(i);
         }
     }
@@ -38,12 +38,12 @@
         auto config = std::make_shared<route_config>();
         config->version = version;
         config->published = std::to_string(version);
-        m_members[host].host.set_config(current(), config, m_out);
+        m_members[host].host->set_config(current(), config, m_out);
         deliver(host);
     }
     std::uint64_t version(std::uint32_t host) const
     {
-        const auto& config = m_members[host].host.config();
+        const auto& config = m_members[host].host->config();
         return config ? config->version : 0;
     }
     // Returns how many copies of a configuration were sent to the host, received or not.
@@ -72,7 +72,7 @@
         for (const auto end = m_now + time; m_now < end; m_now += 20ms)
             for (std::uint32_t i = 0; i < m_members.size(); ++i)
             {
-                m_members[i].host.tick(current(), m_out);
+                m_members[i].host->tick(current(), m_out);
                 deliver(i);
                 receive(i);
             }
@@ -81,7 +81,7 @@
 private:
     struct member
     {
-        pool_host host;
+        std::unique_ptr<pool_host> host; // components of a host refer to each other
         std::deque<std::pair<microseconds, wire::PeerMessage>> inbox; // with the time of arrival
         milliseconds delay{0};
         std::size_t copies = 0;
@@ -115,7 +115,7 @@
     }
     void receive(std::uint32_t to)
     {
-        auto& host = m_members[to].host;
+        auto& host = *m_members[to].host;
         auto& inbox = m_members[to].inbox;
         while (!inbox.empty() && inbox.front().first + m_members[to].delay < m_now)
         {
