Let the peer bus receive between the commands of a backlog

Cause: the bus handled the commands of other threads until none was left before it read messages again. On a fraction of a core, with a busy main thread, there is always another command, and messages pile up in the sockets meanwhile.

Evidence: in the log of such a host all 36 peers fall silent and are heard again in the same second, several times, each time with one burst; its own heartbeats arrive at the others all the while, and its jobs run. The counters of the bus in event=resources (received, commands, turns, pauses) show such a second as commands without messages.

Change: at most 96 commands a turn. Counters of messages, commands and turns.

--- a/src/io/peer_bus.cpp
+++ b/src/io/peer_bus.cpp
@@ -31,6 +31,8 @@
 // Messages read before commands are handled, so that a flood does not delay what this host sends:
 // one of each of 96 peers.
 constexpr int max_receive_batch = 96;
+// Commands handled before messages are read, for the same reason the other way round.
+constexpr int max_command_batch = 96;
 constexpr int min_reconnect_interval_ms = 50;
 // A restarted host is reconnected within one heartbeat interval.
 constexpr int max_reconnect_interval_ms = 100;
@@ -218,6 +220,7 @@
              !paused && received < max_receive_batch && message.recv(s.receiver, ZMQ_DONTWAIT);
              ++received)
         {
+            ++m_received;
             wire::PeerMessage peer_message;
             auto body = message.remove();
             if (!peer_message.ParseFromArray(body.data(), static_cast<int>(body.size())))
@@ -242,8 +245,11 @@
     const auto handle_commands = [&]
     {
         zmq::multipart_t message;
-        while (message.recv(s.command_receiver, ZMQ_DONTWAIT))
+        for (int handled = 0;
+             handled < max_command_batch && message.recv(s.command_receiver, ZMQ_DONTWAIT);
+             ++handled)
         {
+            ++m_commands;
             const auto command_name = part_to_string(message[0]);
             if (command_name == command_stop)
                 return false;
@@ -281,6 +287,7 @@
     {
         items[0].events = paused ? short{0} : short{ZMQ_POLLIN};
         zmq::poll(items, poll_timeout);
+        ++m_turns;
         receive_messages();
         if (!handle_commands())
             return;
--- a/src/io/peer_bus.hpp
+++ b/src/io/peer_bus.hpp
@@ -67,6 +67,12 @@
     // did not match the connection's key.
     std::uint64_t refused() const { return m_refused; }
     std::uint64_t bytes_sent() const { return m_bytes_sent; }
+    // Returns the numbers of messages received, of commands of other threads handled, and of turns
+    // of the bus's loop. A bus whose turns rise while it receives nothing does not see its
+    // messages.
+    std::uint64_t received() const { return m_received; }
+    std::uint64_t commands() const { return m_commands; }
+    std::uint64_t turns() const { return m_turns; }
     // Returns how often the handler has made the bus stop reading.
     std::uint64_t pauses() const { return m_pauses; }
 
@@ -82,6 +88,9 @@
     std::atomic<std::uint64_t> m_refused{0};
     std::atomic<std::uint64_t> m_bytes_sent{0};
     std::atomic<std::uint64_t> m_pauses{0};
+    std::atomic<std::uint64_t> m_received{0};
+    std::atomic<std::uint64_t> m_commands{0};
+    std::atomic<std::uint64_t> m_turns{0};
     std::thread m_thread;
 };
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -17,6 +17,7 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <fstream>
+#include <future>
 #include <random>
 #include <thread>
 
@@ -741,3 +742,36 @@
     // Twice the size for ZeroMQ's own structures, and a megabyte for what else the process does.
     BOOST_TEST(allocated_bytes() < before + total * message_bytes * 3 + 1'000'000);
 }
+
+// Guards against a host that sends and hears nobody (incident LOST): the bus handled commands of
+// other threads until none was left, and on a slow processor there was always another.
+BOOST_AUTO_TEST_CASE(messages_are_received_between_the_commands_of_a_backlog)
+{
+    constexpr std::uint64_t backlog = 900; // below ZeroMQ's default mark
+    std::promise<void> release;
+    const auto released = release.get_future().share();
+    std::atomic<bool> blocked{false};
+    peer_bus busy({},
+                  [&](const wire::PeerMessage&)
+                  {
+                      blocked = true;
+                      released.wait();
+                      return true;
+                  });
+    peer_bus peer({}, [](const wire::PeerMessage&) { return true; });
+    peer.set_address("busy", busy.endpoint());
+    BOOST_REQUIRE(wait_until(
+        [&]
+        {
+            peer.send("busy", numbered_message("peer", 1));
+            return blocked.load();
+        }));
+    const auto commands = busy.commands();
+    const auto turns = busy.turns();
+    for (std::uint64_t i = 0; i < backlog; ++i)
+        busy.send("nobody", numbered_message("busy", 1));
+    release.set_value();
+    BOOST_REQUIRE(wait_until([&] { return busy.commands() >= commands + backlog; }));
+    // Each turn receives messages. A heartbeat of each of 96 hosts is a turn's work.
+    BOOST_TEST(busy.turns() >= turns + backlog / 96);
+}
