--- a/src/io/peer_bus.cpp
+++ b/src/io/peer_bus.cpp
@@ -27,6 +27,7 @@
 
 constexpr const char* command_endpoint = "inproc://peer-bus-out";
 constexpr const char* zap_endpoint = "inproc://zeromq.zap.01";
+constexpr int high_water_mark = 20000; // messages
 constexpr std::chrono::milliseconds poll_timeout{100};
 // Messages read before commands are handled, so that a flood does not delay what this host sends:
 // one of each of 96 peers.
@@ -90,8 +91,7 @@
         s.command_sender.connect(command_endpoint);
         s.command_sender.set(zmq::sockopt::linger, 0);
         s.receiver.set(zmq::sockopt::linger, 0);
-        s.receiver.set(zmq::sockopt::rcvhwm, m_settings.max_waiting_messages);
-        s.receiver.set(zmq::sockopt::rcvbuf, m_settings.socket_buffer_bytes);
+        s.receiver.set(zmq::sockopt::rcvhwm, high_water_mark);
         if (!m_settings.secret_key.empty())
         {
             s.zap.emplace(s.context, zmq::socket_type::rep);
@@ -196,8 +196,7 @@
         zmq::socket_t socket(s.context, zmq::socket_type::dealer);
         socket.set(zmq::sockopt::linger, 0);
         socket.set(zmq::sockopt::immediate, true);
-        socket.set(zmq::sockopt::sndhwm, m_settings.max_waiting_messages);
-        socket.set(zmq::sockopt::sndbuf, m_settings.socket_buffer_bytes);
+        socket.set(zmq::sockopt::sndhwm, high_water_mark);
         socket.set(zmq::sockopt::reconnect_ivl, min_reconnect_interval_ms);
         socket.set(zmq::sockopt::reconnect_ivl_max, max_reconnect_interval_ms);
         socket.set(zmq::sockopt::heartbeat_ivl, heartbeat_interval_ms);
--- a/src/io/peer_bus.hpp
+++ b/src/io/peer_bus.hpp
@@ -27,15 +27,6 @@
     std::string public_key;
     std::string secret_key;
     std::map<std::string, std::string> peer_keys; // host -> public key
-    // ZeroMQ's high water mark: the maximum number of messages that wait for each peer, and again
-    // the maximum received from each peer that have not been read. Those above it are dropped where
-    // they are sent. The default is for hosts with gigabytes of memory. If a bus does not read for
-    // longer than ZeroMQ's heartbeat timeout (0.9 s) and a peer's mark is reached, the peer
-    // replaces its connection, which may fill the marks again.
-    int max_waiting_messages = 20000;
-    // Size of the kernel's buffer for each peer in each direction, which counts towards the memory
-    // of a container; Linux doubles the value. -1: as the system chooses.
-    int socket_buffer_bytes = -1;
 };
 
 class peer_bus
