Let the stand-in of the platform be destroyed while its poll runs

Cause: the test's thread destroyed the stand-in and its timer while the poll ran on the context's thread.

Change: a poll shares its timer and a mutex with the server; the destructor waits for a poll that runs, and later ones do nothing.

The race was not made to occur on demand before.

Open: worker_server has the same pattern with its timer.

--- a/src/io/standin_server.cpp
+++ b/src/io/standin_server.cpp
@@ -37,7 +37,7 @@
 } // namespace
 
 platform_server::platform_server(boost::asio::io_context& context, http_server_settings settings)
-    : m_context(context), m_timer(context),
+    : m_context(context), m_poll(std::make_shared<poll_state>(context)),
       m_server(context, std::move(settings),
                [this](http_request request, http_responder respond)
                { on_request(std::move(request), std::move(respond)); })
@@ -45,7 +45,11 @@
     schedule_poll();
 }
 
-platform_server::~platform_server() = default;
+platform_server::~platform_server()
+{
+    const std::lock_guard lock(m_poll->mutex);
+    m_poll->stopped = true;
+}
 
 std::uint64_t platform_server::appends()
 {
@@ -55,11 +59,12 @@
 
 void platform_server::schedule_poll()
 {
-    m_timer.expires_after(poll_interval);
-    m_timer.async_wait(
-        [this](boost::system::error_code code)
+    m_poll->timer.expires_after(poll_interval);
+    m_poll->timer.async_wait(
+        [this, poll = m_poll](boost::system::error_code code)
         {
-            if (code)
+            const std::lock_guard lock(poll->mutex);
+            if (code || poll->stopped)
                 return;
             answer_ready_reads();
             schedule_poll();
--- a/src/io/standin_server.hpp
+++ b/src/io/standin_server.hpp
@@ -40,6 +40,15 @@
     // Answers the waiting reads that have records to return or whose wait has expired.
     void answer_ready_reads();
     void schedule_poll();
+    // The timer of the polls. A poll that runs or is due on the context's thread shares it, so that
+    // the server may be destroyed by another thread meanwhile.
+    struct poll_state
+    {
+        explicit poll_state(boost::asio::io_context& context) : timer(context) {}
+        std::mutex mutex; // held during a poll
+        bool stopped = false;
+        boost::asio::steady_timer timer;
+    };
 
     std::mutex m_mutex;
     log_model m_log;
@@ -49,7 +58,7 @@
     std::chrono::milliseconds m_delay{0};
     std::vector<waiting_read> m_waiting;
     boost::asio::io_context& m_context;
-    boost::asio::steady_timer m_timer;
+    std::shared_ptr<poll_state> m_poll;
     http_server m_server;
 };
 
