Review case 2: after 1,000 replaced machines no entry host can start

Cause: host records in keyed.egret-hosts are never deleted, a peer that was never heard is never forgotten, and each takes a ZeroMQ socket, of which a process has at most 1,023; the exception ends the process. Case: 1,040 machines are replaced one after the other, then the two others are restarted in turn.

--- a/review/standin/cancel_elsewhere.cpp
+++ b/review/standin/cancel_elsewhere.cpp
@@ -82,9 +82,9 @@
     platform_store.put("keyed.op", "config", config_text(time_budget_ms));
     std::vector<std::unique_ptr<entry_host>> hosts;
     for (int i = 0; i < 2; ++i)
-        hosts.push_back(std::make_unique<entry_host>(
-            folder, "edge-iloilo-city-" + std::to_string(i + 1), "iloilo-city",
-            platform_store.port(), std::vector<std::uint16_t>{}));
+        hosts.push_back(std::make_unique<entry_host>(folder,
+                                                     "edge-iloilo-city-" + std::to_string(i + 1),
+                                                     "iloilo-city", platform_store.port()));
     if (!wait_until_ready(hosts, milliseconds{15000}))
         return 2;
     balancer front(hosts, lines);
--- a/review/standin/http.hpp
+++ b/review/standin/http.hpp
@@ -51,12 +51,12 @@
     return text;
 }
 
-inline sockaddr_in loopback(std::uint16_t port)
+inline sockaddr_in loopback(std::uint16_t port, const std::string& ip = "127.0.0.1")
 {
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
     return address;
 }
 
@@ -242,12 +242,12 @@
 class channel
 {
 public:
-    explicit channel(std::uint16_t port) : m_port(port)
+    explicit channel(std::uint16_t port, const std::string& ip = "127.0.0.1") : m_port(port)
     {
         m_fd = ::socket(AF_INET, SOCK_STREAM, 0);
         const int yes = 1;
         ::setsockopt(m_fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
-        const auto address = loopback(port);
+        const auto address = loopback(port, ip);
         if (::connect(m_fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
             close();
     }
--- a/review/standin/leavers.cpp
+++ b/review/standin/leavers.cpp
@@ -105,9 +105,8 @@
     platform_store.put("keyed.op", "config", config_text(1500));
     std::vector<std::unique_ptr<entry_host>> hosts;
     hosts.push_back(std::make_unique<entry_host>(folder, "edge-iloilo-city-1", "iloilo-city",
-                                                 platform_store.port(),
-                                                 std::vector<std::uint16_t>{}));
-    const auto& host = *hosts.front();
+                                                 platform_store.port()));
+    auto& host = *hosts.front();
     if (!wait_until_ready(hosts, milliseconds{15000}))
         return 2;
     std::this_thread::sleep_for(milliseconds{1000});
--- a/review/standin/other_kind.cpp
+++ b/review/standin/other_kind.cpp
@@ -37,8 +37,7 @@
     platform_store.put("keyed.op", "config", config_text(1500));
     std::vector<std::unique_ptr<entry_host>> hosts;
     hosts.push_back(std::make_unique<entry_host>(folder, "edge-iloilo-city-1", "iloilo-city",
-                                                 platform_store.port(),
-                                                 std::vector<std::uint16_t>{}));
+                                                 platform_store.port()));
     if (!wait_until_ready(hosts, milliseconds{15000}))
         return 2;
     std::this_thread::sleep_for(milliseconds{3000});
--- a/review/standin/platform.hpp
+++ b/review/standin/platform.hpp
@@ -8,6 +8,8 @@
 #include <boost/json.hpp>
 #include <condition_variable>
 #include <csignal>
+#include <cstdio>
+#include <deque>
 #include <fstream>
 #include <iostream>
 #include <optional>
@@ -79,6 +81,13 @@
         append(topic, std::string(1, static_cast<char>(key.size())) + key + value);
     }
 
+    // The number of keys in a topic.
+    std::size_t keys(const std::string& topic)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_topics[topic].newest.size();
+    }
+
 private:
     void append(const std::string& topic, const std::string& bytes)
     {
@@ -111,17 +120,22 @@
         if (got.path == "/log-newest")
         {
             json::array items;
+            bool more = false;
             for (const auto& [key, offset] : log.newest)
             {
                 const auto& bytes = log.records[offset];
                 const auto value = bytes.substr(1 + key.size());
                 const bool after = !got.query.contains("after") || key > got.query.at("after");
-                if (after && !value.empty())
-                    items.push_back(
-                        json::object{{"key", key}, {"value", base64(value)}, {"offset", offset}});
+                if (!after || value.empty())
+                    continue;
+                more = items.size() >= 500;
+                if (more)
+                    break;
+                items.push_back(
+                    json::object{{"key", key}, {"value", base64(value)}, {"offset", offset}});
             }
             return {200, json::serialize(json::object{
-                             {"items", items}, {"has_more", false}, {"end", log.records.size()}})};
+                             {"items", items}, {"has_more", more}, {"end", log.records.size()}})};
         }
         if (got.path != "/log-read")
             return {404, "{}"};
@@ -454,49 +468,76 @@
         std::uint16_t callers, readiness, control, metrics, peers;
     };
 
+    // `ip` and `given` place the host at a loopback address and ports of its own; by default it
+    // gets free ports at 127.0.0.1.
     entry_host(const std::string& folder, std::string name, std::string zone, std::uint16_t store,
-               std::vector<std::uint16_t> seeds)
-        : m_name(std::move(name)), m_file(folder + "/" + m_name + ".yaml")
+               const std::string& ip = "127.0.0.1", std::optional<ports> given = std::nullopt,
+               const std::vector<std::string>& seeds = {}, bool first_start = true)
+        : m_folder(folder), m_name(std::move(name)), m_file(folder + "/" + m_name + ".yaml"),
+          m_ip(ip), m_ports(given ? *given : choose_ports())
+    {
+        m_write_settings = [=, this](bool first) { write_settings(zone, store, seeds, first); };
+        m_write_settings(first_start);
+        spawn();
+    }
+    ~entry_host() { kill(); }
+    entry_host(const entry_host&) = delete;
+    entry_host& operator=(const entry_host&) = delete;
+
+    static ports choose_ports()
     {
         const auto free = free_ports(5);
-        m_ports = {free[0], free[1], free[2], free[3], free[4]};
-        const auto at = [](std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); };
-        std::ofstream file(m_file);
-        file << "name: \"" << m_name << "\"\ndata_centre: \"" << zone << "\"\ncallers: \""
-             << at(m_ports.callers) << "\"\nreadiness: \"" << at(m_ports.readiness)
-             << "\"\ncontrol: \"" << at(m_ports.control) << "\"\nmetrics: \"" << at(m_ports.metrics)
-             << "\"\npeers: \"tcp://" << at(m_ports.peers) << "\"\nseeds: [";
-        for (std::size_t i = 0; i < seeds.size(); ++i)
-            file << (i > 0 ? "," : "") << '"' << at(seeds[i]) << '"';
-        file << "]\nstore: \"" << at(store)
-             << "\"\nconfig_bound_ms: 2000\nstop_limit_s: 6\nfirst_start: true\n";
-        file.close();
-        start(folder);
+        return {free[0], free[1], free[2], free[3], free[4]};
+    }
+
+    // Starts the process anew, with the settings of a later start. Call it on the main thread.
+    void start()
+    {
+        m_write_settings(false);
+        spawn();
     }
-    ~entry_host()
+    // Kills the process if it runs.
+    void kill()
     {
         if (m_pid <= 0)
             return;
         ::kill(m_pid, SIGCONT);
         ::kill(m_pid, SIGKILL);
         ::waitpid(m_pid, nullptr, 0);
+        m_pid = -1;
     }
-
     const std::string& name() const { return m_name; }
+    const std::string& ip() const { return m_ip; }
     const ports& at() const { return m_ports; }
-    pid_t pid() const { return m_pid; }
-    void signal(int number) const { ::kill(m_pid, number); }
-    bool running() const { return ::waitpid(m_pid, nullptr, WNOHANG) == 0; }
+    void signal(int number) const
+    {
+        if (m_pid > 0)
+            ::kill(m_pid, number);
+    }
+    // Returns true while the process runs; else `m_status` has how it ended.
+    bool running()
+    {
+        if (m_pid > 0 && ::waitpid(m_pid, &m_status, WNOHANG) == m_pid)
+            m_pid = -1;
+        return m_pid > 0;
+    }
+    // How the process ended.
+    std::string how_ended() const
+    {
+        return WIFSIGNALED(m_status) ? "by signal " + std::to_string(WTERMSIG(m_status))
+                                     : "with code " + std::to_string(WEXITSTATUS(m_status));
+    }
     // One check of the balancer.
     bool ready() const
     {
-        return channel(m_ports.readiness)
+        return channel(m_ports.readiness, m_ip)
                    .call("GET", "/ready", "balancer", "", milliseconds{900})
                    .status == 200;
     }
 
 private:
-    void start(const std::string& folder)
+    // The process ends with the thread that called this.
+    void spawn()
     {
         const auto parent = ::getpid();
         m_pid = ::fork();
@@ -506,18 +547,38 @@
         if (::getppid() != parent)
             ::_exit(1);
         ::setenv("EGRETLEDGE_CONFIG", m_file.c_str(), 1);
-        const auto log = folder + "/" + m_name + ".log";
-        if (std::freopen(log.c_str(), "w", stdout) == nullptr ||
+        const auto log = m_folder + "/" + m_name + ".log";
+        if (std::freopen(log.c_str(), "a", stdout) == nullptr ||
             std::freopen(log.c_str(), "a", stderr) == nullptr)
             ::_exit(1);
         ::execl("target/egret-edge", "target/egret-edge", nullptr);
         ::_exit(1);
     }
 
+    void write_settings(const std::string& zone, std::uint16_t store,
+                        const std::vector<std::string>& seeds, bool first_start) const
+    {
+        const auto at = [&](std::uint16_t port) { return m_ip + ":" + std::to_string(port); };
+        std::ofstream file(m_file);
+        file << "name: \"" << m_name << "\"\ndata_centre: \"" << zone << "\"\ncallers: \""
+             << at(m_ports.callers) << "\"\nreadiness: \"" << at(m_ports.readiness)
+             << "\"\ncontrol: \"" << at(m_ports.control) << "\"\nmetrics: \"" << at(m_ports.metrics)
+             << "\"\npeers: \"tcp://" << at(m_ports.peers) << "\"\nseeds: [";
+        for (std::size_t i = 0; i < seeds.size(); ++i)
+            file << (i > 0 ? "," : "") << '"' << seeds[i] << '"';
+        file << "]\nstore: \"127.0.0.1:" << store
+             << "\"\nconfig_bound_ms: 2000\nstop_limit_s: 6\nfirst_start: "
+             << (first_start ? "true" : "false") << "\n";
+    }
+
+    std::string m_folder;
     std::string m_name;
     std::string m_file;
-    ports m_ports{};
+    std::string m_ip;
+    ports m_ports;
+    std::function<void(bool)> m_write_settings;
     pid_t m_pid = -1;
+    int m_status = 0;
 };
 
 // Waits until all hosts are ready, at most for `limit`.
