--- a/review/build.sh
+++ b/review/build.sh
@@ -2,6 +2,7 @@
 # Builds the stand-ins that the scripts under review/ start, into target/review.
 set -eu
 cd "$(dirname "$0")/.."
+rm -rf target/review
 mkdir -p target/review
 for source in review/standin/*.cpp; do
     name=$(basename "$source" .cpp)
