--- a/src/io/edge_metrics.cpp
+++ b/src/io/edge_metrics.cpp
@@ -53,6 +53,9 @@
     call_count_row{"unknown", &pool::call_router::totals::unknown},
     call_count_row{"caller_gone", &pool::call_router::totals::caller_disconnected},
     call_count_row{"sent_away", &pool::call_router::totals::remote},
+    call_count_row{"offers", &pool::call_router::totals::offers},
+    call_count_row{"declined_for_room", &pool::call_router::totals::capacity_declines},
+    call_count_row{"declined_otherwise", &pool::call_router::totals::other_declines},
     call_count_row{"orphaned", &pool::call_router::totals::orphaned},
     call_count_row{"placed_anew", &pool::call_router::totals::orphan_offers}};
 
@@ -69,12 +72,25 @@
     pool_count_row{"orders_in_doubt", &pool::worker_pool::totals::in_doubt},
     pool_count_row{"workers_lost", &pool::worker_pool::totals::lost_workers}};
 
+struct host_count_row
+{
+    const char* kind;
+    std::uint64_t pool::membership::totals::*value;
+};
+constexpr std::array host_count_rows{
+    host_count_row{"heartbeat_rounds", &pool::membership::totals::heartbeat_rounds},
+    host_count_row{"expedited_rounds", &pool::membership::totals::expedited_rounds},
+    host_count_row{"heartbeats", &pool::membership::totals::heartbeats},
+    host_count_row{"heartbeats_with_hosts", &pool::membership::totals::heartbeats_with_hosts},
+    host_count_row{"returned_hosts", &pool::membership::totals::returned_hosts}};
+
 struct process_count_row
 {
     const char* kind;
     std::uint64_t process_counts::*value;
 };
 constexpr std::array process_count_rows{
+    process_count_row{"processor_us", &process_counts::processor_us},
     process_count_row{"store_calls", &process_counts::store_calls},
     process_count_row{"peer_messages_dropped", &process_counts::peer_messages_dropped},
     process_count_row{"log_lines_dropped", &process_counts::log_lines_dropped},
@@ -118,6 +134,9 @@
     gauge_row{"egretledge_config_version", "Version in force",
               [](const pool::pool_host& host, instant)
               { return host.config() ? static_cast<double>(host.config()->version) : 0.0; }},
+    gauge_row{"egretledge_hosts_alive", "Other hosts whose heartbeats arrive",
+              [](const pool::pool_host& host, instant now)
+              { return static_cast<double>(host.hosts().count_alive(now.steady)); }},
     gauge_row{"egretledge_open_calls", "Calls not answered yet",
               [](const pool::pool_host& host, instant)
               { return static_cast<double>(host.calls().open_calls()); }},
@@ -199,6 +218,7 @@
     };
     add(call_count_rows);
     add(pool_count_rows);
+    add(host_count_rows);
     add(process_count_rows);
 }
 
@@ -230,6 +250,7 @@
     };
     update_counters(call_count_rows, host.calls().counts());
     update_counters(pool_count_rows, host.workers().counts());
+    update_counters(host_count_rows, host.hosts().counts());
     update_counters(process_count_rows, process);
     return prometheus::TextSerializer().Serialize(m_instruments->registry.Collect());
 }
--- a/src/io/edge_metrics.hpp
+++ b/src/io/edge_metrics.hpp
@@ -43,6 +43,7 @@
     std::uint64_t worker_connections = 0;      // with a request
     std::uint64_t idle_worker_connections = 0; // without one
     std::uint64_t waiting_worker_requests = 0; // for a free connection
+    std::uint64_t processor_us = 0;            // processor time used
 };
 
 class edge_metrics
--- a/src/io/process_memory.cpp
+++ b/src/io/process_memory.cpp
@@ -1,4 +1,5 @@
 #include "io/process_memory.hpp"
+#include <ctime>
 #include <fstream>
 #include <malloc.h>
 #include <unistd.h>
@@ -21,4 +22,12 @@
     return heap.uordblks + heap.hblkhd;
 }
 
+microseconds processor_time()
+{
+    timespec used{};
+    ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    return std::chrono::duration_cast<microseconds>(std::chrono::seconds{used.tv_sec} +
+                                                    std::chrono::nanoseconds{used.tv_nsec});
+}
+
 } // namespace egretledge
--- a/src/io/process_memory.hpp
+++ b/src/io/process_memory.hpp
@@ -1,9 +1,10 @@
 #ifndef EGRETLEDGE_IO_PROCESS_MEMORY_HPP
 #define EGRETLEDGE_IO_PROCESS_MEMORY_HPP
 
-// Memory of this process, as the system and the allocator report it.
+// Memory and processor time of this process, as the system and the allocator report them.
 
 #include <cstdint>
+#include <egretledge/types.hpp>
 
 namespace egretledge
 {
@@ -12,6 +13,8 @@
 std::uint64_t resident_bytes();
 // Returns the bytes that the allocator has given out and not got back.
 std::uint64_t allocated_bytes();
+// Returns the processor time that all threads of this process have used.
+microseconds processor_time();
 
 } // namespace egretledge
 
--- a/src/pool/call_router.cpp
+++ b/src/pool/call_router.cpp
@@ -327,6 +327,7 @@
     else
         withdraw_offer(now, call, out);
     call.offer = ++m_offers;
+    ++m_totals.offers;
     call.pool_ref = pool_ref;
     if (call.pool.empty())
         return m_local_pool.submit(now, call.job, {{}, 0, call.offer}, age, out);
@@ -404,6 +405,9 @@
     if (found == m_calls.end())
         return;
     auto& call = found->second;
+    if (declined)
+        ++(answer.kind == answer_kind::over_capacity ? m_totals.capacity_declines
+                                                     : m_totals.other_declines);
     if (answer.kind == answer_kind::worker_lost)
         return orphan_or_resolve(now, number, {}, now + m_settings.lost_worker_timeout,
                                  std::move(answer), out);
--- a/src/pool/call_router.hpp
+++ b/src/pool/call_router.hpp
@@ -81,6 +81,9 @@
         std::uint64_t refused = 0;
         std::uint64_t unknown = 0;
         std::uint64_t caller_disconnected = 0; // the caller disconnected before the answer
+        std::uint64_t offers = 0;              // of jobs to pools, this host's own included
+        std::uint64_t capacity_declines = 0;   // offers declined for want of capacity
+        std::uint64_t other_declines = 0;      // offers declined for another reason
         std::uint64_t remote = 0;              // sent to another data centre
         std::uint64_t orphaned = 0;            // their pool's host became silent or lost a worker
         std::uint64_t orphan_offers = 0;       // offers of orphaned jobs to new pools
--- a/src/pool/membership.cpp
+++ b/src/pool/membership.cpp
@@ -60,6 +60,9 @@
     if (now < m_next_round)
         return;
     m_next_round = now + m_settings.heartbeat_interval;
+    ++m_totals.heartbeat_rounds;
+    m_totals.expedited_rounds += now - m_last_round < m_settings.heartbeat_interval ? 1 : 0;
+    m_last_round = now;
     ++m_sequence;
     m_sent.emplace_back(m_sequence, now);
     if (m_sent.size() > max_sent_heartbeats)
@@ -106,7 +109,10 @@
     heartbeat.set_address(m_settings.address);
     heartbeat.set_leaving(own_state.leaving);
     heartbeat.set_settled(settled(now));
-    if (now - to.alive_since < m_settings.min_settle_time * 2)
+    const bool lists_hosts = now - to.alive_since < m_settings.min_settle_time * 2;
+    ++m_totals.heartbeats;
+    m_totals.heartbeats_with_hosts += lists_hosts ? 1 : 0;
+    if (lists_hosts)
         for (const auto& [name, host] : m_peers)
             if (!host.ref.empty() && &host != &to)
             {
@@ -183,6 +189,7 @@
     if (!alive(from.name, now) || host.last_heard.count() < 0)
     {
         host.alive_since = now;
+        ++m_totals.returned_hosts;
         expedite_heartbeats(); // the peer accepts no work for this host's callers before an echo
         m_silence_logged.erase(from.name);
         out.push_back(actions::log_event{
@@ -271,6 +278,12 @@
     return now - since < m_settings.dead_timeout;
 }
 
+std::size_t membership::count_alive(microseconds now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_peers.begin(), m_peers.end(), [&](const auto& item) { return alive(item.first, now); }));
+}
+
 bool membership::settled(microseconds now) const
 {
     const auto listened = now - m_listening_since;
--- a/src/pool/membership.hpp
+++ b/src/pool/membership.hpp
@@ -183,6 +183,18 @@
     const membership_settings& settings() const { return m_settings; }
     // Time of the end of this process's last pause, or of its start.
     microseconds listening_since() const { return m_listening_since; }
+    // Returns how many hosts are alive.
+    std::size_t count_alive(microseconds now) const;
+
+    struct totals
+    {
+        std::uint64_t heartbeat_rounds = 0;      // in which the due heartbeats were sent
+        std::uint64_t expedited_rounds = 0;      // those before their interval had passed
+        std::uint64_t heartbeats = 0;            // sent
+        std::uint64_t heartbeats_with_hosts = 0; // those that list the known hosts
+        std::uint64_t returned_hosts = 0;        // became alive, for the first time or again
+    };
+    const totals& counts() const { return m_totals; }
 
 private:
     // Replaces the workers that a host announces, and updates the index of holders.
@@ -215,6 +227,8 @@
     microseconds m_last_tick{0};
     microseconds m_listening_since{0};
     microseconds m_settled_at{-1};
+    microseconds m_last_round{0};
+    totals m_totals;
 };
 
 } // namespace egretledge::pool
