--- a/harness/pool_simulation.cpp
+++ b/harness/pool_simulation.cpp
@@ -31,6 +31,8 @@
 constexpr std::uint32_t max_crashes_of_task = 3;
 constexpr std::uint32_t max_starts_after_crashes = 2; // the third one breaks the rule
 const char* const service = "desk";
+// Messages that a host handles before other work.
+constexpr std::size_t max_message_batch = 16;
 
 } // namespace
 
@@ -48,6 +50,15 @@
     // empty at `backlog_until`.
     microseconds backlog_from{0};
     microseconds backlog_until{0};
+    // Work of a limited processor, and the messages that wait to be handled. What the inbox has no
+    // room for is left unread.
+    std::deque<std::pair<microseconds, std::function<void()>>> work;
+    bool working = false;
+    microseconds busy_until{0};
+    pool::peer_inbox inbox{pool::peer_inbox_settings{}};
+    std::deque<wire::PeerMessage> unread_messages;
+    bool reading_paused = false;
+    bool delivery_scheduled = false;
 };
 
 pool_simulation::pool_simulation(pool_simulation_settings settings)
@@ -166,6 +177,8 @@
     state.logic = std::make_unique<pool_host>(settings);
     print("start " + state.name);
     const auto incarnation = ++state.incarnation;
+    state.busy_until = m_now;
+    use_processor(index, m_settings.processor.start);
     call_host(index,
               [&](pool_host& host, instant now, action_list& out)
               {
@@ -186,11 +199,88 @@
     ++state.incarnation;
     state.deferred_calls.clear();
     state.blocked_messages.clear();
+    state.work.clear();
+    state.working = false;
+    state.inbox = peer_inbox{peer_inbox_settings{}};
+    state.unread_messages.clear();
+    state.reading_paused = state.delivery_scheduled = false;
     state.frozen_until = state.blocked_until = state.backlog_until = microseconds{0};
     print("kill " + state.name);
     break_open_calls(index);
 }
 
+void pool_simulation::restart_all_hosts(microseconds downtime)
+{
+    for (std::uint32_t host = 0; host < host_count(); ++host)
+        kill_host(host);
+    at(m_now + downtime,
+       [this]
+       {
+           for (std::uint32_t host = 0; host < host_count(); ++host)
+               start_host(host);
+       });
+}
+
+void pool_simulation::use_processor(std::uint32_t index, microseconds work)
+{
+    if (!limits_processor())
+        return;
+    auto& busy_until = m_hosts[index]->busy_until;
+    busy_until = std::max(busy_until, m_now) +
+                 std::chrono::duration_cast<microseconds>(work / m_settings.processor.share);
+}
+
+void pool_simulation::add_work(std::uint32_t index, microseconds work,
+                               std::function<void()> callback)
+{
+    auto& state = *m_hosts[index];
+    state.work.emplace_back(work, std::move(callback));
+    if (std::exchange(state.working, true))
+        return;
+    at(std::max(m_now, state.busy_until),
+       [this, index, incarnation = state.incarnation] { do_next_work(index, incarnation); });
+}
+
+void pool_simulation::do_next_work(std::uint32_t index, std::uint64_t incarnation)
+{
+    auto& state = *m_hosts[index];
+    if (state.incarnation != incarnation)
+        return;
+    if (m_now >= state.busy_until)
+    {
+        const auto next = std::move(state.work.front());
+        state.work.pop_front();
+        use_processor(index, next.first);
+        next.second();
+    }
+    state.working = !state.work.empty();
+    if (state.working)
+        at(state.busy_until, [this, index, incarnation] { do_next_work(index, incarnation); });
+}
+
+void pool_simulation::deliver_messages(std::uint32_t index)
+{
+    auto& state = *m_hosts[index];
+    for (std::size_t handled = 0; handled < max_message_batch; ++handled)
+    {
+        const auto message = state.inbox.take();
+        if (!message)
+            break;
+        use_processor(index, m_settings.processor.handle_message);
+        call_host_now(index, [&](pool_host& host, instant now, action_list& out)
+                      { host.on_peer(now, *message, out); });
+    }
+    if (state.reading_paused && state.inbox.may_resume())
+    {
+        state.reading_paused = false;
+        for (auto& message : std::exchange(state.unread_messages, {}))
+            receive(index, message);
+    }
+    state.delivery_scheduled = !state.inbox.empty();
+    if (state.delivery_scheduled)
+        add_work(index, microseconds{0}, [this, index] { deliver_messages(index); });
+}
+
 void pool_simulation::freeze_host(std::uint32_t index, microseconds duration)
 {
     m_hosts[index]->frozen_until = m_now + duration;
@@ -352,21 +442,31 @@
     const auto& state = *m_hosts[index];
     if (state.incarnation != incarnation || !state.logic)
         return;
+    if (limits_processor())
+        return add_work(index, m_settings.processor.handle_timers,
+                        [this, index, incarnation]
+                        {
+                            call_host_now(index, [](pool_host& host, instant now, action_list& out)
+                                          { host.tick(now, out); });
+                            at(m_now + tick_interval,
+                               [this, index, incarnation] { tick(index, incarnation); });
+                        });
     const auto late = std::min(backlog_delay(index), max_timer_delay);
     call_host_after(index, late,
                     [](pool_host& host, instant now, action_list& out) { host.tick(now, out); });
     at(m_now + tick_interval, [this, index, incarnation] { tick(index, incarnation); });
 }
 
-void pool_simulation::call_host(
-    std::uint32_t index, const std::function<void(pool_host&, instant, action_list&)>& callback)
+void pool_simulation::call_host(std::uint32_t index, const host_callback& callback,
+                                microseconds work)
 {
+    if (limits_processor())
+        return add_work(index, work, [this, index, callback] { call_host_now(index, callback); });
     call_host_after(index, backlog_delay(index), callback);
 }
 
-void pool_simulation::call_host_after(
-    std::uint32_t index, microseconds late,
-    const std::function<void(pool_host&, instant, action_list&)>& callback)
+void pool_simulation::call_host_after(std::uint32_t index, microseconds late,
+                                      const host_callback& callback)
 {
     if (late.count() == 0)
         return call_host_now(index, callback);
@@ -378,8 +478,7 @@
        });
 }
 
-void pool_simulation::call_host_now(
-    std::uint32_t index, const std::function<void(pool_host&, instant, action_list&)>& callback)
+void pool_simulation::call_host_now(std::uint32_t index, const host_callback& callback)
 {
     auto& state = *m_hosts[index];
     if (!state.logic)
@@ -402,12 +501,18 @@
 
 void pool_simulation::execute_actions(std::uint32_t index, action_list& actions)
 {
+    const auto& costs = m_settings.processor;
     for (auto& action : actions)
     {
         if (const auto* answer = std::get_if<actions::answer_call>(&action))
+        {
+            use_processor(index, costs.answer_call);
             on_answer(index, answer->call, answer->answer);
+        }
         else if (const auto* message = std::get_if<actions::send_peer>(&action))
         {
+            use_processor(index, costs.send_message +
+                                     costs.send_kilobyte * message->message.ByteSizeLong() / 1024);
             for (std::uint32_t to = 0; to < host_count(); ++to)
                 if (m_hosts[to]->name == message->host)
                     send_message(index, to, message->message);
@@ -471,6 +576,19 @@
     auto& state = *m_hosts[to];
     if (m_now < state.blocked_until)
         return state.blocked_messages.push_back(message);
+    if (limits_processor())
+    {
+        if (!state.logic)
+            return;
+        if (state.reading_paused)
+            return state.unread_messages.push_back(message);
+        use_processor(to, m_settings.processor.receive_message);
+        state.inbox.push(message);
+        state.reading_paused = state.inbox.full();
+        if (!std::exchange(state.delivery_scheduled, true))
+            add_work(to, microseconds{0}, [this, to] { deliver_messages(to); });
+        return;
+    }
     call_host(to, [message](pool_host& host, instant now, action_list& out)
               { host.on_peer(now, message, out); });
 }
@@ -494,6 +612,7 @@
 void pool_simulation::send_order(std::uint32_t index, const Order& order)
 {
     const auto incarnation = m_hosts[index]->incarnation;
+    use_processor(index, m_settings.processor.send_order);
     std::uint32_t target = 0;
     while (m_workers[target]->entry().id != order.worker)
         ++target;
@@ -568,8 +687,11 @@
        [this, index, incarnation, request, reply = std::move(reply)]
        {
            if (m_hosts[index]->incarnation == incarnation)
-               call_host(index, [request, reply](pool_host& host, instant now, action_list& out)
-                         { host.on_worker(now, request, reply, out); });
+               call_host(
+                   index,
+                   [request, reply](pool_host& host, instant now, action_list& out)
+                   { host.on_worker(now, request, reply, out); },
+                   m_settings.processor.handle_reply);
        });
 }
 
@@ -606,8 +728,11 @@
             retry_call(host, id);
         return;
     }
-    call_host(host, [call, request = job.request](pool_host& logic, instant now, action_list& out)
-              { logic.on_job(now, (call << 8), request, out); });
+    call_host(
+        host,
+        [call, request = job.request](pool_host& logic, instant now, action_list& out)
+        { logic.on_job(now, (call << 8), request, out); },
+        m_settings.processor.handle_call);
     m_calls[call].answer.detail = std::to_string(host); // the host, while the call is open
 }
 
--- a/harness/pool_simulation.hpp
+++ b/harness/pool_simulation.hpp
@@ -15,6 +15,7 @@
 //   when they crashed.
 // - A task that crashes its workers is started at most twice after it has crashed three of them.
 
+#include "pool/peer_inbox.hpp"
 #include "pool/pool_host.hpp"
 #include "standin/pool_worker_model.hpp"
 #include <queue>
@@ -23,6 +24,23 @@
 namespace egretledge::harness
 {
 
+// The processor of each host and what its work takes on a whole core. The work of a host is done in
+// the order in which it arrives, as by one thread.
+struct processor_settings
+{
+    double share = 0; // of a core; 0: work takes no time
+    microseconds receive_message{20};
+    microseconds handle_message{20};
+    microseconds send_message{25};
+    microseconds send_kilobyte{10};
+    microseconds send_order{90};
+    microseconds handle_reply{70};
+    microseconds handle_call{120};
+    microseconds answer_call{60};
+    microseconds handle_timers{40};
+    microseconds start{30000}; // of a process
+};
+
 struct pool_simulation_settings
 {
     std::uint32_t data_centres = 3;
@@ -45,6 +63,7 @@
     // A worker that a task has crashed restarts after this time. Its registry entry shows the new
     // start time to all hosts then.
     milliseconds crashed_worker_downtime{3000};
+    processor_settings processor;
 };
 
 class pool_simulation
@@ -116,6 +135,8 @@
     void kill_host(std::uint32_t host);
     // Starts a new incarnation of the host. Has no effect if the host is up.
     void start_host(std::uint32_t host);
+    // Terminates all hosts at once, and starts all of them again after `downtime`.
+    void restart_all_hosts(microseconds downtime);
     // Pauses the host's process. Its events are deferred until the pause ends.
     void freeze_host(std::uint32_t host, microseconds duration);
     // Holds back messages from other hosts for this time and then delivers them in order. Timers,
@@ -219,18 +240,23 @@
     instant current_instant() const;
     microseconds delay();
     void tick(std::uint32_t host, std::uint64_t incarnation);
-    // Calls the host after the delay of its backlog.
-    void
-    call_host(std::uint32_t host,
-              const std::function<void(pool::pool_host&, instant, pool::action_list&)>& callback);
+    using host_callback = std::function<void(pool::pool_host&, instant, pool::action_list&)>;
+    // Calls the host after the delay of its backlog, or if its processor is limited once its
+    // earlier work is done. `work` is the processor time of the call itself.
+    void call_host(std::uint32_t host, const host_callback& callback,
+                   microseconds work = microseconds{0});
+    // Adds work to a host whose processor is limited.
+    void add_work(std::uint32_t host, microseconds work, std::function<void()> callback);
+    void do_next_work(std::uint32_t host, std::uint64_t incarnation);
+    // Keeps the host's processor busy for this time on a whole core.
+    void use_processor(std::uint32_t host, microseconds work);
+    // Handles the messages that wait in the host's inbox, in batches.
+    void deliver_messages(std::uint32_t host);
+    bool limits_processor() const { return m_settings.processor.share > 0; }
     // Calls the host after the delay `late`, unless its incarnation has ended by then.
-    void call_host_after(
-        std::uint32_t host, microseconds late,
-        const std::function<void(pool::pool_host&, instant, pool::action_list&)>& callback);
+    void call_host_after(std::uint32_t host, microseconds late, const host_callback& callback);
     // Calls the host and executes the resulting actions. Deferred until the end of a freeze.
-    void call_host_now(
-        std::uint32_t host,
-        const std::function<void(pool::pool_host&, instant, pool::action_list&)>& callback);
+    void call_host_now(std::uint32_t host, const host_callback& callback);
     void execute_actions(std::uint32_t host, pool::action_list& actions);
     void send_message(std::uint32_t from, std::uint32_t to, const wire::PeerMessage& message);
     void schedule_arrival(std::uint32_t from, std::uint32_t to, std::uint64_t incarnation,
--- /dev/null
+++ b/tests/pool_restart_test.cpp
@@ -0,0 +1,114 @@
+// All hosts of a deployment end at once and return, on processors that do little more than the
+// load needs.
+
+#include "harness/pool_simulation.hpp"
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+
+using namespace egretledge;
+using namespace egretledge::harness;
+using namespace egretledge::pool;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr microseconds load_begin{2500ms};
+constexpr microseconds fault_time{8s};
+constexpr microseconds downtime{1200ms};
+constexpr microseconds recovery_limit{15s}; // the platform's bound after the hosts have returned
+constexpr microseconds measured_time{4s};
+constexpr microseconds load_end = fault_time + downtime + recovery_limit + measured_time;
+
+// 24 hosts in three data centres with 120 workers, and callers that retry as on the platform.
+pool_simulation_settings small_processor_deployment(double processor_share)
+{
+    pool_simulation_settings settings;
+    settings.seed = 7;
+    settings.data_centres = 3;
+    settings.hosts_per_centre = 8;
+    settings.workers_per_centre = 40;
+    settings.caller_wait = 1500ms;
+    settings.platform_callers = true;
+    settings.ordered_messages = true;
+    settings.max_calls = 3;
+    settings.processor.share = processor_share;
+    return settings;
+}
+
+// Schedules `rate` jobs a second of one to six short tasks, each at a random host.
+void schedule_load(pool_simulation& simulation, double rate, std::mt19937_64& random)
+{
+    const auto count = static_cast<std::int64_t>(
+        rate * std::chrono::duration<double>(load_end - load_begin).count());
+    for (std::int64_t i = 0; i < count; ++i)
+        simulation.at(load_begin + microseconds{std::llround(1e6 * static_cast<double>(i) / rate)},
+                      [&simulation, &random, i]
+                      {
+                          const auto draw = [&](std::int64_t min_value, std::int64_t max_value) {
+                              return std::uniform_int_distribution<std::int64_t>(min_value,
+                                                                                 max_value)(random);
+                          };
+                          const auto host =
+                              static_cast<std::uint32_t>(draw(0, simulation.host_count() - 1));
+                          simulation.submit(host, "job" + std::to_string(i),
+                                            static_cast<std::uint32_t>(draw(1, 6)), {6400, 64, 0},
+                                            milliseconds{draw(40, 340)}, true);
+                      });
+}
+
+// Returns the share of calls sent from `begin` until `end` that were answered as complete.
+double served_share(const pool_simulation& simulation, microseconds begin, microseconds end)
+{
+    double calls = 0;
+    double served = 0;
+    for (const auto& call : simulation.calls())
+    {
+        if (call.sent < begin || call.sent >= end)
+            continue;
+        ++calls;
+        served += call.answered.count() >= 0 && call.answer.kind == answer_kind::ok ? 1 : 0;
+    }
+    return calls == 0 ? 0 : served / calls;
+}
+
+// Returns the largest number of workers that one host holds.
+std::size_t largest_pool(const pool_simulation& simulation)
+{
+    std::size_t largest = 0;
+    for (std::uint32_t host = 0; host < simulation.host_count(); ++host)
+        if (simulation.host(host) != nullptr)
+            largest = std::max(largest, simulation.host(host)->workers().held().size());
+    return largest;
+}
+
+} // namespace
+
+// Guards against a deployment that serves all calls, loses power at all hosts at once, and
+// afterwards serves few of the same calls for as long as the load lasts.
+BOOST_AUTO_TEST_CASE(service_is_back_after_all_hosts_lost_power_at_once)
+{
+    pool_simulation simulation(small_processor_deployment(0.04));
+    std::mt19937_64 random(11);
+    schedule_load(simulation, 75, random);
+    simulation.at(fault_time, [&] { simulation.restart_all_hosts(downtime); });
+    simulation.run_until(load_end + 2s);
+    const auto before = served_share(simulation, load_begin + 1500ms, fault_time - 2s);
+    const auto after = served_share(simulation, fault_time + downtime + recovery_limit, load_end);
+    BOOST_TEST(before >= 0.95);
+    BOOST_TEST(after >= 0.95);
+    for (const auto& violation : simulation.violations())
+        BOOST_ERROR(violation);
+}
+
+// Guards against the first host of a data centre that settles after all have restarted: it took
+// all workers, more than its processor can serve, and kept them.
+BOOST_AUTO_TEST_CASE(workers_are_shared_out_after_all_hosts_lost_power_at_once)
+{
+    pool_simulation simulation(small_processor_deployment(0.04));
+    std::mt19937_64 random(11);
+    schedule_load(simulation, 75, random);
+    simulation.at(fault_time, [&] { simulation.restart_all_hosts(downtime); });
+    simulation.run_until(fault_time + downtime + recovery_limit);
+    BOOST_TEST(largest_pool(simulation) <= worker_assignment_settings{}.max_workers);
+}
