Share workers out after all hosts have restarted

Cause: for each worker without a holder a settled host was preferred to one that is not, whether it had room or not. The first host of a data centre to settle was thus chosen for all workers, and a holder keeps what it has. The class is an assignment that looks at who is there first and is never looked at again.

A host with room that is about to settle now goes before a full one, for 3 s; and a host that holds more than the maximum hands over six workers at a time once a settled neighbour has room, placing no tasks on them until they are idle. Ruled out: waiting for all hosts to settle before any takes workers, since one slow host would hold up its data centre.

--- a/src/pool/membership.cpp
+++ b/src/pool/membership.cpp
@@ -307,6 +307,11 @@
     return m_settled_at.count() >= 0 && now - m_settled_at >= m_settings.settled_announce_delay;
 }
 
+bool membership::settling(const peer& host, microseconds now) const
+{
+    return !host.settled && now - host.alive_since < m_settings.max_settling_time;
+}
+
 std::optional<membership::past_incarnation> membership::last_seen(const host_ref& ref) const
 {
     const auto* host = find(ref.name);
--- a/src/pool/membership.hpp
+++ b/src/pool/membership.hpp
@@ -51,6 +51,9 @@
     // `max_settle_time` for them. A connection takes up to a second if its first packet is lost.
     milliseconds max_settle_time{1500};
     milliseconds min_settle_time{150};
+    // Time within which a host that is heard for the first time or again is expected to settle:
+    // `max_settle_time`, and the same for the start of a process that is short of processor time.
+    milliseconds max_settling_time{3000};
     // A settled host announces this at once, and acquires workers only after this delay, when its
     // peers have received the announcement: a round trip plus the delay of a busy host.
     milliseconds settled_announce_delay{80};
@@ -130,6 +133,9 @@
     // Returns true once this host knows which host holds which workers. Starts over after a pause
     // of this process.
     bool settled(microseconds now) const;
+    // Returns true if the host is alive and not settled, and has not been heard for so long that it
+    // should have settled.
+    bool settling(const peer& host, microseconds now) const;
     // Time at which this host last became settled; negative while it is not.
     microseconds settled_at() const { return m_settled_at; }
     // Returns true if this host may acquire workers: it has been settled for
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -233,7 +233,8 @@
     {
         if (!m_membership.alive(name, now.steady))
             continue;
-        hosts.push_back({name, host.data_centre, host.held_count, host.leaving, host.settled});
+        hosts.push_back({name, host.data_centre, host.held_count, host.leaving, host.settled,
+                         m_membership.settling(host, now.steady)});
         held_elsewhere.insert(host.held.begin(), host.held.end());
     }
     for (const auto& id : held_elsewhere)
@@ -247,6 +248,7 @@
             m_pool.acquire(now, m_registry.at(id), out);
     for (const auto& id : plan.release)
         m_pool.release(id);
+    m_pool.hand_over(plan.hand_over);
     if (std::exchange(m_announced_version, m_pool.held_version()) != m_pool.held_version())
         m_membership.expedite_heartbeats();
 }
--- a/src/pool/worker_assignment.cpp
+++ b/src/pool/worker_assignment.cpp
@@ -5,10 +5,17 @@
 //   only the latter exists, the worker is assigned to it and no other host acquires the worker.
 // - A host below the maximum is preferred to a full one. If all are full, the one that holds the
 //   fewest workers is chosen.
+// - Where both rules apply, a host that has room and is about to settle is preferred to a full one,
+//   but a full one to a host that stays unsettled. After a restart of all hosts the first one to
+//   settle therefore does not take all workers.
 // - A host that already holds workers is preferred to one that holds none, so that few hosts have
 //   large pools.
 // - Remaining ties are resolved by a hash of data centre and host.
 //
+// A host that holds more than the maximum, since others were away, hands workers over once a
+// settled host of their data centre has room. Until then the pools stay as they are: a move costs
+// the worker's callers a heartbeat's delay.
+//
 // If a data centre has no host, the hosts of the other data centres serve it by the same rules.
 
 #include "pool/worker_assignment.hpp"
@@ -28,6 +35,25 @@
     return XXH64(hash_input.data(), hash_input.size(), 0);
 }
 
+// The order of preference of hosts by whether they are settled and have room.
+enum class preference : std::uint8_t
+{
+    settled_with_room,
+    settling_with_room,
+    settled_and_full,
+    unsettled_with_room,
+    unsettled_and_full
+};
+
+preference preference_of(const candidate_host& host, bool full)
+{
+    if (host.settled)
+        return full ? preference::settled_and_full : preference::settled_with_room;
+    if (full)
+        return preference::unsettled_and_full;
+    return host.settling ? preference::settling_with_room : preference::unsettled_with_room;
+}
+
 // Returns the host that should acquire a worker of `data_centre`; null if there is none.
 // `max_workers` is the number of workers at which a host is full.
 candidate_host* choose_host(std::vector<candidate_host>& hosts, const std::string& data_centre,
@@ -41,7 +67,7 @@
     const auto key = [&](const candidate_host& host)
     {
         const bool full = host.held >= max_workers;
-        return std::make_tuple(!host.settled, full, full ? host.held : 0, host.held == 0,
+        return std::make_tuple(preference_of(host, full), full ? host.held : 0, host.held == 0,
                                rank_of(data_centre, host.name));
     };
     for (auto& host : hosts)
@@ -54,6 +80,22 @@
     return best;
 }
 
+// Returns how many workers of its own data centre this host should hand over.
+std::size_t count_handover(const worker_assignment_settings& settings,
+                           const candidate_host& this_host,
+                           const std::vector<candidate_host>& hosts, std::size_t held)
+{
+    if (this_host.leaving || held <= settings.max_workers)
+        return 0;
+    std::size_t room = 0;
+    for (const auto& host : hosts)
+        if (host.name != this_host.name && host.data_centre == this_host.data_centre &&
+            host.settled && !host.leaving && host.held < settings.max_workers)
+            room += settings.max_workers - host.held;
+    return std::min(
+        {held - settings.max_workers, room, static_cast<std::size_t>(settings.max_handover)});
+}
+
 } // namespace
 
 worker_assignment choose_workers(const worker_assignment_settings& settings,
@@ -68,6 +110,7 @@
         hosts.begin(), hosts.end(), [&](const candidate_host& host) { return host.name == self; });
     if (this_host == hosts.end())
         return result;
+    auto left_to_hand_over = count_handover(settings, *this_host, hosts, own.size());
     for (const auto& [id, entry] : registry)
     {
         if (own.contains(id))
@@ -81,6 +124,11 @@
                             });
             if (this_host->leaving || (remote && local_host))
                 result.release.push_back(id);
+            else if (left_to_hand_over > 0 && !remote && !entry.leaving)
+            {
+                --left_to_hand_over;
+                result.hand_over.push_back(id);
+            }
             continue;
         }
         if (held_elsewhere.contains(id) || entry.leaving)
--- a/src/pool/worker_assignment.hpp
+++ b/src/pool/worker_assignment.hpp
@@ -16,6 +16,9 @@
     // Maximum number of workers that one host holds while another host has capacity left. More
     // workers improve the packing of tasks; each costs processor time.
     std::uint32_t max_workers = 24;
+    // Maximum number of workers that a host with too many hands over at a time: a quarter of a
+    // usual pool, since no task is placed on a worker that is being handed over.
+    std::uint32_t max_handover = 6;
 };
 
 // A host to which workers may be assigned.
@@ -26,6 +29,8 @@
     std::uint32_t held = 0; // number of workers held
     bool leaving = false;
     bool settled = true; // knows which host holds which workers; acquires none before
+    // Not settled, and heard for the first time or again so lately that it should settle soon.
+    bool settling = false;
 };
 
 // Changes to the set of workers held by this host, as worker ids.
@@ -35,6 +40,9 @@
     // Held here, but to be left to other hosts: this host is leaving, or it is in another data
     // centre than the worker and a settled host is in the worker's own.
     std::vector<std::string> release;
+    // Held here beyond the maximum while another host of the data centre has room: no more tasks
+    // are to be placed on these, and they are to be released once they are idle.
+    std::vector<std::string> hand_over;
 };
 
 // `self` is the name of this host; `hosts` are the live hosts including this one. `held_elsewhere`
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -105,6 +105,18 @@
     return true;
 }
 
+void worker_pool::hand_over(const std::vector<std::string>& workers)
+{
+    for (auto& [id, record] : m_workers)
+        record.handed_over = false;
+    for (const auto& id : workers)
+    {
+        const auto record = m_workers.find(id);
+        if (record != m_workers.end() && !release(id))
+            record->second.handed_over = true;
+    }
+}
+
 void worker_pool::remove_worker(const std::string& worker)
 {
     m_workers.erase(worker);
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -87,6 +87,9 @@
     // Releases an idle worker, so that another host may acquire it. Returns false if the worker is
     // not held or not idle.
     bool release(const std::string& worker);
+    // Places no more tasks on these workers, and releases those that are idle. The workers of the
+    // previous call that are not among them accept tasks again.
+    void hand_over(const std::vector<std::string>& workers);
     bool holds(const std::string& worker) const { return m_workers.contains(worker); }
     // Returns true if all these workers are held here, have accepted this host as their holder, and
     // run nothing of a former holder.
@@ -207,6 +210,7 @@
         std::uint64_t first_held_version = 0; // the held_version that added it
         bool leaving = false;
         bool unregistered = false;  // not in the registry any more
+        bool handed_over = false;   // to be released once it is idle
         double slowness = 1;        // moving average of actual over expected run time
         std::uint32_t failures = 0; // consecutive ones
         microseconds quarantined_until{0};
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -504,6 +504,57 @@
     BOOST_TEST(std::max(size("h1"), size("h2")) == 24U);
 }
 
+// Guards against a restart of all hosts after which the first one to settle takes every worker of
+// its data centre, while the others need some tenths of a second more.
+BOOST_AUTO_TEST_CASE(the_first_host_to_settle_leaves_workers_to_those_about_to_settle)
+{
+    worker_registry registry;
+    for (int i = 0; i < 60; ++i)
+        registry.emplace("w" + std::to_string(i), make_worker_entry("w" + std::to_string(i)));
+    std::vector<candidate_host> hosts{{"h1", "dc1", 0, false, true, false},
+                                      {"h2", "dc1", 0, false, false, true},
+                                      {"h3", "dc1", 0, false, false, true}};
+    const auto size = [&](const std::string& host) {
+        return choose_workers({24, 6}, host, registry, hosts, {}, {}).acquire.size();
+    };
+    BOOST_TEST(size("h1") == 24U);
+    BOOST_TEST(size("h2") == 0U);
+    // Hosts that stay unsettled do not keep workers from a host that can serve them.
+    hosts[1].settling = hosts[2].settling = false;
+    BOOST_TEST(size("h1") == 60U);
+}
+
+// Guards against a host that holds more workers than it should, since the others were away, and
+// keeps them once the others are back.
+BOOST_AUTO_TEST_CASE(a_host_with_too_many_workers_hands_them_over_in_small_groups)
+{
+    worker_registry registry;
+    std::set<std::string> own;
+    for (int i = 0; i < 40; ++i)
+    {
+        const auto entry = make_worker_entry("w" + std::to_string(i));
+        registry.emplace(entry.id, entry);
+        own.insert(entry.id);
+    }
+    std::vector<candidate_host> hosts{{"h1", "dc1", 40, false, true, false},
+                                      {"h2", "dc1", 0, false, false, true},
+                                      {"h3", "dc2", 0, false, true, false}};
+    const auto handed_over = [&] {
+        return choose_workers({24, 6}, "h1", registry, hosts, {}, own).hand_over.size();
+    };
+    BOOST_TEST(handed_over() == 0U);
+    hosts[1].settled = true;
+    BOOST_TEST(handed_over() == 6U);
+    hosts[1].held = 22;
+    BOOST_TEST(handed_over() == 2U);
+    hosts[1].leaving = true;
+    BOOST_TEST(handed_over() == 0U);
+    hosts[1].leaving = false;
+    while (own.size() > 24)
+        own.erase(own.begin());
+    BOOST_TEST(handed_over() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(routes_match_by_host_and_longest_prefix)
 {
     route_config config;
