Count the time that an offer waits in the inbox in its job's age

A host that is behind took on offers that had waited in its inbox as if they had just been sent, started their tasks, and stopped them when the callers gave up. The callers then came back, so that the load was higher than before the host fell behind.

Cause: the age of a job in an offer is as of its sending; admission compared it with the objective at the time of handling.

Test: the_age_of_an_offered_job_includes_its_wait_in_the_inbox.

--- a/harness/pool_simulation.cpp
+++ b/harness/pool_simulation.cpp
@@ -263,7 +263,7 @@
     auto& state = *m_hosts[index];
     for (std::size_t handled = 0; handled < max_message_batch; ++handled)
     {
-        const auto message = state.inbox.take();
+        const auto message = state.inbox.take(m_now);
         if (!message)
             break;
         use_processor(index, m_settings.processor.handle_message);
@@ -583,7 +583,7 @@
         if (state.reading_paused)
             return state.unread_messages.push_back(message);
         use_processor(to, m_settings.processor.receive_message);
-        state.inbox.push(message);
+        state.inbox.push(message, m_now);
         state.reading_paused = state.inbox.full();
         if (!std::exchange(state.delivery_scheduled, true))
             add_work(to, microseconds{0}, [this, to] { deliver_messages(to); });
--- a/src/io/edge_metrics.cpp
+++ b/src/io/edge_metrics.cpp
@@ -91,6 +91,8 @@
 };
 constexpr std::array process_count_rows{
     process_count_row{"processor_us", &process_counts::processor_us},
+    process_count_row{"worker_connections_opened", &process_counts::worker_connections_opened},
+    process_count_row{"worker_requests_failed", &process_counts::worker_requests_failed},
     process_count_row{"store_calls", &process_counts::store_calls},
     process_count_row{"peer_messages_dropped", &process_counts::peer_messages_dropped},
     process_count_row{"log_lines_dropped", &process_counts::log_lines_dropped},
--- a/src/io/edge_metrics.hpp
+++ b/src/io/edge_metrics.hpp
@@ -44,6 +44,8 @@
     std::uint64_t idle_worker_connections = 0; // without one
     std::uint64_t waiting_worker_requests = 0; // for a free connection
     std::uint64_t processor_us = 0;            // processor time used
+    std::uint64_t worker_connections_opened = 0;
+    std::uint64_t worker_requests_failed = 0; // without a whole reply
 };
 
 class edge_metrics
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -288,6 +288,7 @@
         const auto endpoint = parse_address(m_address);
         if (!endpoint)
             return finish(conn, tl::make_unexpected(endpoint.error()), false);
+        ++m_totals->opened_connections;
         conn->stream.async_connect(
             *endpoint,
             [self = shared_from_this(), conn](error_code code)
@@ -338,6 +339,7 @@
 
     void finish(const connection_ptr& conn, expected<http_reply> result, bool keep_alive)
     {
+        m_totals->failed_requests += result ? 0 : 1;
         --m_connections_in_use;
         --m_totals->connections_in_use;
         const auto done = std::move(conn->done);
--- a/src/io/http_client.hpp
+++ b/src/io/http_client.hpp
@@ -63,7 +63,9 @@
     {
         std::atomic<std::uint64_t> connections_in_use{0};
         std::atomic<std::uint64_t> idle_connections{0};
-        std::atomic<std::uint64_t> waiting_requests{0}; // for a free connection
+        std::atomic<std::uint64_t> waiting_requests{0};   // for a free connection
+        std::atomic<std::uint64_t> opened_connections{0}; // so far
+        std::atomic<std::uint64_t> failed_requests{0};    // so far; without a whole reply
     };
     const totals& counts() const { return *m_totals; }
     // Returns the number of addresses to which a connection or a request is open.
--- a/src/io/peer_delivery.cpp
+++ b/src/io/peer_delivery.cpp
@@ -1,4 +1,5 @@
 #include "io/peer_delivery.hpp"
+#include "io/clocks.hpp"
 #include <boost/asio/post.hpp>
 
 namespace egretledge
@@ -14,7 +15,7 @@
 bool peer_delivery::push(wire::PeerMessage message)
 {
     const std::lock_guard lock(m_mutex);
-    m_inbox.push(std::move(message));
+    m_inbox.push(std::move(message), read_clocks().steady);
     if (!std::exchange(m_scheduled, true))
         boost::asio::post(m_context, [this] { deliver_batch(); });
     m_paused = m_paused || m_inbox.full();
@@ -26,7 +27,7 @@
     for (std::size_t handled = 0; handled < m_settings.max_batch; ++handled)
     {
         std::unique_lock lock(m_mutex);
-        const auto message = m_inbox.take();
+        const auto message = m_inbox.take(read_clocks().steady);
         lock.unlock();
         if (!message)
             break;
--- a/src/pool/peer_inbox.cpp
+++ b/src/pool/peer_inbox.cpp
@@ -62,7 +62,7 @@
            is_subsequence(earlier.withdrawn(), later.withdrawn());
 }
 
-void peer_inbox::push(wire::PeerMessage message)
+void peer_inbox::push(wire::PeerMessage message, microseconds now)
 {
     const auto bytes = message.ByteSizeLong();
     auto& queue = m_by_host[message.from().name()];
@@ -75,16 +75,16 @@
     {
         m_bytes += bytes;
         m_bytes -= last.bytes;
-        last = {std::move(message), bytes};
+        last = {std::move(message), bytes, now};
         ++m_superseded;
         return;
     }
-    queue.push_back({std::move(message), bytes});
+    queue.push_back({std::move(message), bytes, now});
     ++m_waiting;
     m_bytes += bytes;
 }
 
-std::optional<wire::PeerMessage> peer_inbox::take()
+std::optional<wire::PeerMessage> peer_inbox::take(microseconds now)
 {
     if (m_turns.empty())
         return std::nullopt;
@@ -99,6 +99,12 @@
         m_by_host.erase(found);
     else
         m_turns.push_back(std::move(host));
+    if (next.message.has_pool_job())
+    {
+        auto& job = *next.message.mutable_pool_job();
+        const auto waited = std::chrono::duration_cast<milliseconds>(now - next.arrived);
+        job.set_age_ms(job.age_ms() + static_cast<std::uint32_t>(waited.count()));
+    }
     return std::move(next.message);
 }
 
--- a/src/pool/peer_inbox.hpp
+++ b/src/pool/peer_inbox.hpp
@@ -17,6 +17,9 @@
 // Hosts take turns, one message each, so that a host with many messages does not delay the others.
 // The messages of one host stay in order; between hosts there is no order in the first place.
 //
+// The age of a job in an offer is as of its sending. The time that the offer waits here is added to
+// it, so that a job which can't end in time any more is declined rather than started in vain.
+//
 // The inbox never discards a message. At its bound the owner stops reading until may_resume(), so
 // that the sockets push back on the senders.
 
@@ -49,10 +52,10 @@
 public:
     explicit peer_inbox(peer_inbox_settings settings) : m_settings(settings) {}
 
-    // Adds a message, also if the inbox is full.
-    void push(wire::PeerMessage message);
-    // Removes and returns the next message; nothing if none waits.
-    std::optional<wire::PeerMessage> take();
+    // Adds a message that arrives at `now`, also if the inbox is full.
+    void push(wire::PeerMessage message, microseconds now = microseconds{0});
+    // Removes and returns the next message; nothing if none waits. `now` is by the clock of push().
+    std::optional<wire::PeerMessage> take(microseconds now = microseconds{0});
 
     // Returns true if a bound is reached: no further message should be read.
     bool full() const
@@ -75,6 +78,7 @@
     {
         wire::PeerMessage message;
         std::size_t bytes = 0;
+        microseconds arrived{0};
     };
 
     peer_inbox_settings m_settings;
--- a/tests/peer_inbox_test.cpp
+++ b/tests/peer_inbox_test.cpp
@@ -233,6 +233,19 @@
     BOOST_TEST(by_bytes.empty());
 }
 
+// Guards against a host that is behind and starts jobs whose callers have given up: an offer that
+// waits must not look as young as when it was sent.
+BOOST_AUTO_TEST_CASE(the_age_of_an_offered_job_includes_its_wait_in_the_inbox)
+{
+    peer_inbox inbox({});
+    auto offer = make_offer({"h1", 1}, 1, 1);
+    offer.mutable_pool_job()->set_age_ms(30);
+    inbox.push(offer, 1000ms);
+    inbox.push(make_offer({"h1", 1}, 2, 1), 1200ms);
+    BOOST_TEST(inbox.take(1700ms)->pool_job().age_ms() == 730U);
+    BOOST_TEST(inbox.take(1700ms)->pool_job().age_ms() == 500U);
+}
+
 // One noisy host must not delay the heartbeats of the others.
 BOOST_AUTO_TEST_CASE(hosts_take_turns)
 {
