Hand workers over from a host that is short of processor time

Cause: the size of a pool is a number of workers, whatever the host can serve, and nothing tells a host that it is late. The class is missing back-pressure towards the work that a host takes on.

The daemon now reports how late its timer and its messages are. Their average over half a second is added to the announced wait, so that jobs go elsewhere, and to the time for which workers' answers are waited for; and a host that is late by 50 ms for 1.5 s says in its heartbeats that it is overloaded: it counts as full, and hands over six workers at a time to settled neighbours that are not. A pause of the process is no overload. Ruled out: fewer workers a host for all, since hosts differ by four times, and a share of a core from the settings, which says nothing about the load.

--- a/harness/pool_simulation.cpp
+++ b/harness/pool_simulation.cpp
@@ -444,10 +444,16 @@
         return;
     if (limits_processor())
         return add_work(index, m_settings.processor.handle_timers,
-                        [this, index, incarnation]
+                        [this, index, incarnation, due = m_now]
                         {
-                            call_host_now(index, [](pool_host& host, instant now, action_list& out)
-                                          { host.tick(now, out); });
+                            const auto next = m_hosts[index]->inbox.next_arrival();
+                            const auto delay = m_now - std::min(due, next.value_or(due));
+                            call_host_now(index,
+                                          [&](pool_host& host, instant now, action_list& out)
+                                          {
+                                              host.observe_delay(now, delay);
+                                              host.tick(now, out);
+                                          });
                             at(m_now + tick_interval,
                                [this, index, incarnation] { tick(index, incarnation); });
                         });
--- a/src/io/peer_delivery.cpp
+++ b/src/io/peer_delivery.cpp
@@ -53,6 +53,12 @@
     return m_inbox.waiting();
 }
 
+microseconds peer_delivery::waiting_time(microseconds now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return now - m_inbox.next_arrival().value_or(now);
+}
+
 std::uint64_t peer_delivery::superseded() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/io/peer_delivery.hpp
+++ b/src/io/peer_delivery.hpp
@@ -35,6 +35,8 @@
     bool push(wire::PeerMessage message);
     // The following functions are thread-safe.
     std::size_t waiting() const;
+    // Returns how long the next message has waited at `now`, by CLOCK_BOOTTIME; 0 if none waits.
+    microseconds waiting_time(microseconds now) const;
     std::uint64_t superseded() const;
 
 private:
--- a/src/pool/admission.cpp
+++ b/src/pool/admission.cpp
@@ -106,7 +106,8 @@
                 const auto& step = job.request.steps[task.step];
                 schedule.add(slots_of(step.demand), expected_run_time(job.request, step));
             }
-    return std::chrono::duration_cast<milliseconds>(schedule.next_free() - now);
+    return m_processing_delay +
+           std::chrono::duration_cast<milliseconds>(schedule.next_free() - now);
 }
 
 bool worker_pool::fits_somewhere(const job_request& job) const
--- a/src/pool/held_worker.cpp
+++ b/src/pool/held_worker.cpp
@@ -134,7 +134,7 @@
     const auto request = next_request++;
     m_orders[request] = {order_kind::start, run, m_fence, now};
     out.push_back(actions::start_run{request, m_entry.id, m_entry.address, m_fence,
-                                     extend_lease(now), run, payload, m_settings.order_timeout});
+                                     extend_lease(now), run, payload, order_timeout()});
     if (m_open_holds == 0)
         send_hold(now, renew_interval(), next_request, out);
     m_next_hold = std::min(m_next_hold, now + renew_interval() + hold_timeout_margin);
@@ -150,8 +150,8 @@
     entry->second.stop_sent = now;
     const auto request = next_request++;
     m_orders[request] = {order_kind::stop, run, m_fence, now};
-    out.push_back(actions::stop_run{request, m_entry.id, m_entry.address, m_fence, run,
-                                    m_settings.order_timeout});
+    out.push_back(
+        actions::stop_run{request, m_entry.id, m_entry.address, m_fence, run, order_timeout()});
 }
 
 void held_worker::send_hold(microseconds now, milliseconds wait, std::uint64_t& next_request,
@@ -167,9 +167,9 @@
                                     [](const auto& entry) {
                                         return !entry.second.foreign && !entry.second.view.stopping;
                                     });
-    out.push_back(actions::hold_worker{
-        request, m_entry.id, m_entry.address, m_fence, renews ? extend_lease(now) : 0, m_ends_seen,
-        wait, wait + std::max(hold_timeout_margin, m_settings.order_timeout)});
+    out.push_back(actions::hold_worker{request, m_entry.id, m_entry.address, m_fence,
+                                       renews ? extend_lease(now) : 0, m_ends_seen, wait,
+                                       wait + std::max(hold_timeout_margin, order_timeout())});
     m_next_hold = now + wait + hold_timeout_margin;
 }
 
--- a/src/pool/held_worker.hpp
+++ b/src/pool/held_worker.hpp
@@ -88,6 +88,8 @@
     bool usable() const;
     // Selects `lossy_renew_interval`; set while orders to workers are being lost in the network.
     void set_lossy(bool lossy) { m_lossy = lossy; }
+    // Sets how late this process handles the worker's answers; orders wait longer by it.
+    void set_processing_delay(milliseconds delay) { m_processing_delay = delay; }
     // Start time of the worker's process, by its latest reply; 0 if unknown.
     std::uint64_t start_time_ms() const { return m_start_time_ms; }
     bool idle() const { return m_runs.empty(); }
@@ -152,6 +154,7 @@
         microseconds sent{0};
     };
 
+    milliseconds order_timeout() const { return m_settings.order_timeout + m_processing_delay; }
     milliseconds renew_interval() const
     {
         return m_lossy ? m_settings.lossy_renew_interval : m_settings.renew_interval;
@@ -192,6 +195,7 @@
     bool m_acquired = false;
     bool m_lost = false;
     bool m_lossy = false;
+    milliseconds m_processing_delay{0};
     bool m_found_runs = false;
     // The worker must accept the token before anything else starts.
     bool m_fence_unconfirmed = false;
--- a/src/pool/membership.cpp
+++ b/src/pool/membership.cpp
@@ -58,6 +58,7 @@
         expedite_heartbeats();
     }
     if (now < m_next_round)
+
         return;
     m_next_round = now + m_settings.heartbeat_interval;
     ++m_totals.heartbeat_rounds;
@@ -108,6 +109,7 @@
     heartbeat.set_data_centre(m_settings.data_centre);
     heartbeat.set_address(m_settings.address);
     heartbeat.set_leaving(own_state.leaving);
+    heartbeat.set_overloaded(own_state.overloaded);
     heartbeat.set_settled(settled(now));
     const bool lists_hosts = now - to.alive_since < m_settings.min_settle_time * 2;
     ++m_totals.heartbeats;
@@ -200,6 +202,7 @@
     host.next_heartbeat = microseconds{0};
     host.data_centre = heartbeat.data_centre();
     host.leaving = heartbeat.leaving();
+    host.overloaded = heartbeat.overloaded();
     host.config_version = heartbeat.config_version();
     host.load = {static_cast<std::int64_t>(heartbeat.free_cpu()),
                  static_cast<std::int64_t>(heartbeat.total_cpu()),
--- a/src/pool/membership.hpp
+++ b/src/pool/membership.hpp
@@ -31,6 +31,7 @@
     // A host that was silent for this long counts as dead: three lost heartbeats plus the delay of
     // a busy host.
     milliseconds dead_timeout{450};
+
     // Period for which a silent peer still counts as one that should be alive. A host that receives
     // heartbeats from less than half of the peers of this period counts as partitioned, rather than
     // as the only host left. The longest partitions last about as long.
@@ -86,6 +87,7 @@
     std::set<std::string> unread; // those of `held` whose lists have not been read yet
     std::uint32_t held_count = 0;
     bool settled = false;
+    bool overloaded = false; // short of processor time; takes no more workers
 
     microseconds introduced_at{0};
     microseconds last_heard{-1}; // arrival of the latest heartbeat; -1: none
@@ -112,6 +114,7 @@
     struct announcement
     {
         bool leaving = false;
+        bool overloaded = false;
         std::uint64_t config_version = 0;
         load_report load;
         std::uint64_t held_version = 0;
@@ -130,6 +133,7 @@
     // Returns true if a heartbeat of the host arrived within `dead_timeout`. After a pause of this
     // process the timeout restarts.
     bool alive(const std::string& name, microseconds now) const;
+
     // Returns true once this host knows which host holds which workers. Starts over after a pause
     // of this process.
     bool settled(microseconds now) const;
@@ -234,6 +238,7 @@
     microseconds m_listening_since{0};
     microseconds m_settled_at{-1};
     microseconds m_last_round{0};
+
     totals m_totals;
 };
 
--- a/src/pool/peer_inbox.cpp
+++ b/src/pool/peer_inbox.cpp
@@ -84,6 +84,13 @@
     m_bytes += bytes;
 }
 
+std::optional<microseconds> peer_inbox::next_arrival() const
+{
+    if (m_turns.empty())
+        return std::nullopt;
+    return m_by_host.at(m_turns.front()).front().arrived;
+}
+
 std::optional<wire::PeerMessage> peer_inbox::take(microseconds now)
 {
     if (m_turns.empty())
--- a/src/pool/peer_inbox.hpp
+++ b/src/pool/peer_inbox.hpp
@@ -67,6 +67,8 @@
     {
         return m_waiting <= m_settings.max_messages / 2 && m_bytes <= m_settings.max_bytes / 2;
     }
+    // Returns when the message that take() returns next has arrived; nothing if none waits.
+    std::optional<microseconds> next_arrival() const;
     bool empty() const { return m_waiting == 0; }
     std::size_t waiting() const { return m_waiting; }
     std::size_t waiting_bytes() const { return m_bytes; }
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -24,7 +24,7 @@
               return own_settings;
           }(),
           m_membership, m_pool, m_started),
-      m_config_fetcher(m_settings.config)
+      m_config_fetcher(m_settings.config), m_delay(m_settings.delay)
 {
     m_pool.set_visibility(
         [this](const caller_ref& caller)
@@ -120,6 +120,7 @@
         [&]
         {
             return membership::announcement{m_leaving,
+                                            m_delay.overloaded(),
                                             m_config ? m_config->version : 0,
                                             {m_pool.free_cpu(now.steady),
                                              m_pool.total_cpu(now.steady),
@@ -227,14 +228,14 @@
     const auto& own_settings = m_settings.membership;
     hosts.push_back({own_settings.self.name, own_settings.data_centre,
                      static_cast<std::uint32_t>(m_pool.held().size()), m_leaving,
-                     m_membership.settled(now.steady)});
+                     m_membership.settled(now.steady), false, m_delay.overloaded()});
     std::set<std::string> held_elsewhere;
     for (const auto& [name, host] : m_membership.all())
     {
         if (!m_membership.alive(name, now.steady))
             continue;
         hosts.push_back({name, host.data_centre, host.held_count, host.leaving, host.settled,
-                         m_membership.settling(host, now.steady)});
+                         m_membership.settling(host, now.steady), host.overloaded});
         held_elsewhere.insert(host.held.begin(), host.held.end());
     }
     for (const auto& id : held_elsewhere)
@@ -248,11 +249,38 @@
             m_pool.acquire(now, m_registry.at(id), out);
     for (const auto& id : plan.release)
         m_pool.release(id);
-    m_pool.hand_over(plan.hand_over);
+    hand_over(now, plan.hand_over, out);
     if (std::exchange(m_announced_version, m_pool.held_version()) != m_pool.held_version())
         m_membership.expedite_heartbeats();
 }
 
+void pool_host::hand_over(instant now, std::vector<std::string> planned, action_list& out)
+{
+    std::erase_if(m_handover, [&](const std::string& id) { return !m_pool.holds(id); });
+    if (!m_handover.empty() && now.steady >= m_handover_until)
+        m_handover.clear();
+    if (m_handover.empty() && !planned.empty() && now.steady >= m_next_handover)
+    {
+        m_handover = std::move(planned);
+        m_handover_until = now.steady + m_settings.handover_timeout;
+        out.push_back(actions::log_event{
+            true, "event=workers_handed_over count=" + std::to_string(m_handover.size()) +
+                      " held=" + std::to_string(m_pool.held().size()) +
+                      " delay_ms=" + std::to_string(m_delay.average().count()) +
+                      " overloaded=" + (m_delay.overloaded() ? "true" : "false")});
+    }
+    if (!m_handover.empty())
+        m_next_handover = now.steady + m_settings.handover_pause;
+    m_pool.hand_over(m_handover);
+}
+
+void pool_host::observe_delay(instant now, microseconds delay)
+{
+    m_delay.observe(now.steady, delay);
+
+    m_pool.set_processing_delay(m_delay.average());
+}
+
 void pool_host::update_awaited_lists(instant now, action_list& out)
 {
     const auto silent = m_membership.find_silent_hosts(now.steady);
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -13,6 +13,7 @@
 
 #include "pool/call_router.hpp"
 #include "pool/config_fetcher.hpp"
+#include "pool/processing_delay.hpp"
 #include "pool/routes.hpp"
 #include "pool/unread_workers.hpp"
 #include "pool/worker_assignment.hpp"
@@ -28,6 +29,11 @@
     worker_assignment_settings assignment;
     started_jobs_settings started;
     config_fetcher_settings config;
+    processing_delay_settings delay;
+    // A group of workers that is handed over has this long to become idle; then another group is
+    // chosen, after a pause in which the effect of the last one shows.
+    milliseconds handover_timeout{3000};
+    milliseconds handover_pause{1000};
     milliseconds assignment_interval{40}; // between two rounds of choose_workers()
     // Longest time between two ticks while a backlog of events is processed: half of a heartbeat
     // interval. A later event runs the timers first.
@@ -87,6 +93,9 @@
     bool set_config(instant now, route_config_ptr config, action_list& out);
     void set_registry(instant now, worker_registry registry, action_list& out);
     void tick(instant now, action_list& out);
+    // Reports that this process handles an event now that was due `delay` ago. Called with each
+    // timer, for the longest of such delays.
+    void observe_delay(instant now, microseconds delay);
 
     // Processes a caller's job. `call` identifies the call in its answer_call action.
     void on_job(instant now, std::uint64_t call, job_request job, action_list& out);
@@ -117,11 +126,14 @@
     const call_router& calls() const { return m_call_router; }
     const membership& hosts() const { return m_membership; }
     const started_jobs& started() const { return m_started; }
+    const processing_delay& delay() const { return m_delay; }
 
 private:
     // Runs the timers if the last tick is more than `max_tick_delay` ago.
     void run_overdue_timers(instant now, action_list& out);
     void acquire_and_release(instant now, action_list& out);
+    // Hands over the group of workers that is being handed over, or begins with `planned`.
+    void hand_over(instant now, std::vector<std::string> planned, action_list& out);
     // Returns true if workers of the job's service are listed and none of them is large enough for
     // some step.
     bool too_large(const job_request& job) const;
@@ -165,6 +177,10 @@
     call_router m_call_router;
     unread_workers m_unread;
     config_fetcher m_config_fetcher;
+    processing_delay m_delay;
+    std::vector<std::string> m_handover; // the workers that are being handed over
+    microseconds m_handover_until{0};
+    microseconds m_next_handover{0};
     microseconds m_next_assignment{0};
     microseconds m_last_tick{-1};          // -1: none yet
     std::uint64_t m_announced_version = 0; // held_version() at the last acquire_and_release()
--- a/src/pool/worker_assignment.cpp
+++ b/src/pool/worker_assignment.cpp
@@ -12,9 +12,12 @@
 //   large pools.
 // - Remaining ties are resolved by a hash of data centre and host.
 //
-// A host that holds more than the maximum, since others were away, hands workers over once a
-// settled host of their data centre has room. Until then the pools stay as they are: a move costs
-// the worker's callers a heartbeat's delay.
+// A host that is short of processor time counts as full, whatever it holds: hosts differ in how
+// many workers they can serve.
+//
+// A host that holds more than the maximum, since others were away, or that is short of processor
+// time hands workers over while a settled host of their data centre has room. Otherwise the pools
+// stay as they are: a move costs the worker's callers a heartbeat's delay.
 //
 // If a data centre has no host, the hosts of the other data centres serve it by the same rules.
 
@@ -54,6 +57,11 @@
     return host.settling ? preference::settling_with_room : preference::unsettled_with_room;
 }
 
+bool is_full(const candidate_host& host, std::uint32_t max_workers)
+{
+    return host.overloaded || host.held >= max_workers;
+}
+
 // Returns the host that should acquire a worker of `data_centre`; null if there is none.
 // `max_workers` is the number of workers at which a host is full.
 candidate_host* choose_host(std::vector<candidate_host>& hosts, const std::string& data_centre,
@@ -66,7 +74,7 @@
     candidate_host* best = nullptr;
     const auto key = [&](const candidate_host& host)
     {
-        const bool full = host.held >= max_workers;
+        const bool full = is_full(host, max_workers);
         return std::make_tuple(preference_of(host, full), full ? host.held : 0, host.held == 0,
                                rank_of(data_centre, host.name));
     };
@@ -85,15 +93,15 @@
                            const candidate_host& this_host,
                            const std::vector<candidate_host>& hosts, std::size_t held)
 {
-    if (this_host.leaving || held <= settings.max_workers)
+    if (this_host.leaving || !(this_host.overloaded || held > settings.max_workers))
         return 0;
     std::size_t room = 0;
     for (const auto& host : hosts)
         if (host.name != this_host.name && host.data_centre == this_host.data_centre &&
-            host.settled && !host.leaving && host.held < settings.max_workers)
+            host.settled && !host.leaving && !is_full(host, settings.max_workers))
             room += settings.max_workers - host.held;
-    return std::min(
-        {held - settings.max_workers, room, static_cast<std::size_t>(settings.max_handover)});
+    const std::size_t excess = this_host.overloaded ? held : held - settings.max_workers;
+    return std::min({excess, room, static_cast<std::size_t>(settings.max_handover)});
 }
 
 } // namespace
--- a/src/pool/worker_assignment.hpp
+++ b/src/pool/worker_assignment.hpp
@@ -31,6 +31,8 @@
     bool settled = true; // knows which host holds which workers; acquires none before
     // Not settled, and heard for the first time or again so lately that it should settle soon.
     bool settling = false;
+    // Short of processor time: counts as full, and hands workers over to hosts that are not.
+    bool overloaded = false;
 };
 
 // Changes to the set of workers held by this host, as worker ids.
@@ -40,8 +42,8 @@
     // Held here, but to be left to other hosts: this host is leaving, or it is in another data
     // centre than the worker and a settled host is in the worker's own.
     std::vector<std::string> release;
-    // Held here beyond the maximum while another host of the data centre has room: no more tasks
-    // are to be placed on these, and they are to be released once they are idle.
+    // Held here beyond what this host can serve while another host of the data centre has room: no
+    // more tasks are to be placed on these, and they are to be released once they are idle.
     std::vector<std::string> hand_over;
 };
 
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -196,6 +196,7 @@
     for (auto& [id, record] : m_workers)
     {
         record.worker.set_lossy(now < m_lossy_until);
+        record.worker.set_processing_delay(m_processing_delay);
         record.worker.tick(now, m_next_request, out, events);
     }
     handle_events(now, events, out);
@@ -274,7 +275,10 @@
             if (reply.result == order_result::no_answer)
             {
                 ++m_totals.in_doubt;
-                m_lossy_until = now + m_settings.lossy_period;
+                // If this process is late itself, the network need not be at fault, and more holds
+                // would make it later.
+                if (m_processing_delay < m_settings.workers.order_timeout)
+                    m_lossy_until = now + m_settings.lossy_period;
             }
             break;
         }
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -148,6 +148,10 @@
     start_changes take_start_changes() { return std::exchange(m_start_changes, {}); }
     std::vector<pool_result> take_results() { return std::exchange(m_results, {}); }
 
+    // Sets how late this process handles its events. What a new job waits for includes it, and
+    // workers' answers are waited for longer by it.
+    void set_processing_delay(milliseconds delay) { m_processing_delay = delay; }
+
     // Load as announced to other hosts. A worker's free capacity is rounded down to a multiple of a
     // usual task's demand, since a smaller remainder cannot run a task.
     std::int64_t free_cpu(microseconds now) const;
@@ -326,6 +330,7 @@
     microseconds m_late_jobs_served_at{0}; // when last no late job was left waiting for capacity
     microseconds m_next_check{0};
     microseconds m_lossy_until{0};
+    milliseconds m_processing_delay{0};
     totals m_totals;
 };
 
--- /dev/null
+++ b/tests/pool_overload_test.cpp
@@ -0,0 +1,128 @@
+// Hosts that are short of processor time.
+
+#include "pool/pool_host.hpp"
+#include "tests/pool_helpers.hpp"
+#include <boost/test/unit_test.hpp>
+
+using namespace egretledge;
+using namespace egretledge::pool;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// Observes `delay` every `interval` from `begin` until `end`.
+void observe(processing_delay& delays, microseconds begin, microseconds end, microseconds interval,
+             microseconds delay)
+{
+    for (auto now = begin; now < end; now += interval)
+        delays.observe(now, delay);
+}
+
+worker_registry make_registry(int count)
+{
+    worker_registry registry;
+    for (int i = 0; i < count; ++i)
+    {
+        worker_entry entry;
+        entry.id = entry.address = "w" + std::to_string(10 + i);
+        entry.service = "desk";
+        entry.data_centre = "dc1";
+        entry.capacity = {16000, 32768, 0};
+        registry.emplace(entry.id, entry);
+    }
+    return registry;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_process_is_overloaded_only_while_its_delay_lasts)
+{
+    processing_delay delays({});
+    observe(delays, 0ms, 1000ms, 20ms, 0ms);
+    BOOST_TEST(delays.average() == 0ms);
+    observe(delays, 1000ms, 2400ms, 100ms, 120ms);
+    BOOST_TEST(!delays.overloaded());
+    observe(delays, 2400ms, 4000ms, 100ms, 120ms);
+    BOOST_TEST(delays.overloaded());
+    BOOST_TEST(delays.average() > 100ms);
+    observe(delays, 4000ms, 6000ms, 20ms, 0ms);
+    BOOST_TEST(!delays.overloaded());
+}
+
+// Guards against a host that gives its workers away since its process was paused once.
+BOOST_AUTO_TEST_CASE(a_pause_of_a_process_is_no_overload)
+{
+    processing_delay delays({});
+    observe(delays, 0ms, 1000ms, 20ms, 0ms);
+    delays.observe(5000ms, 4000ms);
+    BOOST_TEST(delays.average() <= processing_delay_settings{}.max_sample);
+    for (auto now = 5020ms; now < 9000ms; now += 20ms)
+    {
+        delays.observe(now, 0ms);
+        BOOST_TEST(!delays.overloaded());
+    }
+}
+
+// Guards against pools that stay on hosts which can't serve them, while their neighbours have
+// processor time to spare.
+BOOST_AUTO_TEST_CASE(a_host_short_of_processor_time_hands_workers_over_and_takes_none)
+{
+    const auto registry = make_registry(20);
+    std::set<std::string> own;
+    for (const auto& [id, entry] : registry)
+        if (own.size() < 12)
+            own.insert(id);
+    std::vector<candidate_host> hosts{{"h1", "dc1", 12, false, true, false, true},
+                                      {"h2", "dc1", 0, false, true, false, false}};
+    const auto overloaded_plan = choose_workers({24, 6}, "h1", registry, hosts, {}, own);
+    BOOST_TEST(overloaded_plan.acquire.empty());
+    BOOST_TEST(overloaded_plan.hand_over.size() == 6U);
+    BOOST_TEST(choose_workers({24, 6}, "h2", registry, hosts, own, {}).acquire.size() == 8U);
+    // If all are overloaded, nothing moves, and each worker still has a host.
+    hosts[1].overloaded = true;
+    const auto first = choose_workers({24, 6}, "h1", registry, hosts, {}, own);
+    const auto second = choose_workers({24, 6}, "h2", registry, hosts, own, {});
+    BOOST_TEST(first.hand_over.empty());
+    BOOST_TEST(first.acquire.size() + second.acquire.size() == 8U);
+}
+
+// Guards against a host that takes its own lateness for that of a worker: it counts orders as lost,
+// opens new connections, and repeats holds, which makes it later.
+BOOST_AUTO_TEST_CASE(orders_wait_longer_while_this_process_is_late)
+{
+    worker_entry entry = make_registry(1).begin()->second;
+    held_worker worker({}, entry, 1000);
+    std::uint64_t next = 1;
+    action_list out;
+    worker_events events;
+    worker.tick(at_ms(1), next, out, events);
+    const auto usual = std::get<actions::hold_worker>(out.back()).timeout;
+    worker_reply accepted;
+    accepted.result = order_result::accepted;
+    accepted.clock_ms = 5000;
+    worker.set_processing_delay(200ms);
+    worker.on_reply(at_ms(2), std::get<actions::hold_worker>(out.back()).request, accepted, next,
+                    out, events);
+    worker.start(at_ms(3), {{"job", 0, 0, 0}, 1}, usual_task, "", next, out);
+    const auto start = std::find_if(out.begin(), out.end(),
+                                    [](const action& sent)
+                                    { return std::holds_alternative<actions::start_run>(sent); });
+    BOOST_REQUIRE((start != out.end()));
+    BOOST_TEST(std::get<actions::start_run>(*start).timeout ==
+               held_worker_settings{}.order_timeout + 200ms);
+    BOOST_TEST(usual <= held_worker_settings{}.order_timeout + 10ms);
+}
+
+// Guards against a pool that is preferred by callers' hosts although it handles their jobs late.
+BOOST_AUTO_TEST_CASE(the_announced_wait_includes_the_delay_of_the_process)
+{
+    pool_host_settings settings;
+    settings.membership.self = {"h1", 1};
+    pool_host host(settings);
+    const auto usual = host.workers().expected_wait(at_ms(0));
+    for (std::int64_t ms = 0; ms < 3000; ms += 100)
+        host.observe_delay({at_ms(ms), milliseconds{ms}}, 150ms);
+    BOOST_TEST(host.delay().overloaded());
+    BOOST_TEST(host.workers().expected_wait(at_ms(3000)) >= usual);
+}
