A late host does not take its own lateness for its peers' silence

Cause: a host decides that a peer is dead by what it has handled, not by what has arrived; and early rounds cost most when hosts are behind, so that being late makes a host later.

For the assignment of workers, a host is now gone only after the silence that makes it dead plus the time that messages wait here, and after twice that silence if it had said that it is overloaded. A late host sends its heartbeats in their usual rounds only. What is said to callers, and the pools' own time limits, stay as strict as before.

Tests: a_late_host_does_not_take_others_for_dead, a_late_host_sends_no_early_heartbeats.

--- a/src/pool/membership.cpp
+++ b/src/pool/membership.cpp
@@ -57,8 +57,8 @@
         m_settled_at = now;
         expedite_heartbeats();
     }
-    if (now < m_next_round)
-
+    const bool may_send_early = m_handling_delay <= m_settings.max_prompt_delay;
+    if (now < (may_send_early ? m_next_round : m_last_round + m_settings.heartbeat_interval))
         return;
     m_next_round = now + m_settings.heartbeat_interval;
     ++m_totals.heartbeat_rounds;
@@ -287,6 +287,15 @@
         m_peers.begin(), m_peers.end(), [&](const auto& item) { return alive(item.first, now); }));
 }
 
+bool membership::may_be_alive(const std::string& name, microseconds now) const
+{
+    const auto* host = find(name);
+    if (host == nullptr || host->last_heard.count() < 0)
+        return false;
+    const auto since = std::max(host->last_heard, m_listening_since);
+    return now - since < m_settings.dead_timeout * (host->overloaded ? 2 : 1) + m_handling_delay;
+}
+
 bool membership::settled(microseconds now) const
 {
     const auto listened = now - m_listening_since;
--- a/src/pool/membership.hpp
+++ b/src/pool/membership.hpp
@@ -31,7 +31,9 @@
     // A host that was silent for this long counts as dead: three lost heartbeats plus the delay of
     // a busy host.
     milliseconds dead_timeout{450};
-
+    // A process that handles messages later than this is short of processor time: the timer
+    // interval of the daemon.
+    milliseconds max_prompt_delay{20};
     // Period for which a silent peer still counts as one that should be alive. A host that receives
     // heartbeats from less than half of the peers of this period counts as partitioned, rather than
     // as the only host left. The longest partitions last about as long.
@@ -133,7 +135,13 @@
     // Returns true if a heartbeat of the host arrived within `dead_timeout`. After a pause of this
     // process the timeout restarts.
     bool alive(const std::string& name, microseconds now) const;
-
+    // Returns false if the host has been silent for so long that it must have ended or be cut off,
+    // rather than be late: `dead_timeout`, twice that if it announced that it is overloaded, and
+    // the time for which its heartbeats may have waited here. Decides about its workers.
+    bool may_be_alive(const std::string& name, microseconds now) const;
+    // Sets how late this process handles messages. While it is more than `max_prompt_delay`, no
+    // heartbeats are sent early: each early round takes the time of a usual one.
+    void set_handling_delay(microseconds delay) { m_handling_delay = delay; }
     // Returns true once this host knows which host holds which workers. Starts over after a pause
     // of this process.
     bool settled(microseconds now) const;
@@ -238,7 +246,7 @@
     microseconds m_listening_since{0};
     microseconds m_settled_at{-1};
     microseconds m_last_round{0};
-
+    microseconds m_handling_delay{0};
     totals m_totals;
 };
 
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -232,7 +232,7 @@
     std::set<std::string> held_elsewhere;
     for (const auto& [name, host] : m_membership.all())
     {
-        if (!m_membership.alive(name, now.steady))
+        if (!m_membership.may_be_alive(name, now.steady))
             continue;
         hosts.push_back({name, host.data_centre, host.held_count, host.leaving, host.settled,
                          m_membership.settling(host, now.steady), host.overloaded});
@@ -277,7 +277,7 @@
 void pool_host::observe_delay(instant now, microseconds delay)
 {
     m_delay.observe(now.steady, delay);
-
+    m_membership.set_handling_delay(delay);
     m_pool.set_processing_delay(m_delay.average());
 }
 
--- a/tests/pool_overload_test.cpp
+++ b/tests/pool_overload_test.cpp
@@ -34,6 +34,24 @@
     return registry;
 }
 
+wire::PoolBeat make_heartbeat(std::uint64_t sequence, bool overloaded)
+{
+    wire::PoolBeat heartbeat;
+    heartbeat.set_sequence(sequence);
+    heartbeat.set_address("h2");
+    heartbeat.set_settled(true);
+    heartbeat.set_overloaded(overloaded);
+    return heartbeat;
+}
+
+membership make_membership()
+{
+    membership_settings settings;
+    settings.self = {"h1", 1};
+    settings.address = "h1";
+    return membership(settings);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_process_is_overloaded_only_while_its_delay_lasts)
@@ -126,3 +144,47 @@
     BOOST_TEST(host.delay().overloaded());
     BOOST_TEST(host.workers().expected_wait(at_ms(3000)) >= usual);
 }
+
+// Guards against a host that is behind, takes the heartbeats which wait in its inbox for missing
+// ones, and takes over the workers of hosts that live.
+BOOST_AUTO_TEST_CASE(a_late_host_does_not_take_others_for_dead)
+{
+    auto hosts = make_membership();
+    action_list out;
+    hosts.tick(
+        at_ms(0), [] { return membership::announcement{}; }, out);
+    hosts.on_heartbeat(at_ms(1000), {"h2", 1}, make_heartbeat(1, false), out);
+    BOOST_TEST(hosts.may_be_alive("h2", at_ms(1400)));
+    BOOST_TEST(!hosts.may_be_alive("h2", at_ms(1500)));
+    hosts.set_handling_delay(600ms);
+    BOOST_TEST(hosts.may_be_alive("h2", at_ms(2000)));
+    BOOST_TEST(!hosts.may_be_alive("h2", at_ms(2100)));
+    BOOST_TEST(!hosts.alive("h2", at_ms(1500))); // what is said to callers stays as strict
+    // A host that said it was overloaded may be late itself.
+    hosts.set_handling_delay(0ms);
+    hosts.on_heartbeat(at_ms(3000), {"h2", 1}, make_heartbeat(2, true), out);
+    BOOST_TEST(hosts.may_be_alive("h2", at_ms(3800)));
+    BOOST_TEST(!hosts.may_be_alive("h2", at_ms(3950)));
+    BOOST_TEST(!hosts.may_be_alive("h3", at_ms(3000)));
+}
+
+// Guards against early rounds of heartbeats that make a host which is late later: each host that is
+// heard again caused one.
+BOOST_AUTO_TEST_CASE(a_late_host_sends_no_early_heartbeats)
+{
+    for (const bool late : {false, true})
+    {
+        auto hosts = make_membership();
+        action_list out;
+        if (late)
+            hosts.set_handling_delay(100ms);
+        for (std::int64_t ms = 0; ms < 1000; ms += 20)
+        {
+            hosts.expedite_heartbeats();
+            hosts.tick(
+                at_ms(1000 + ms), [] { return membership::announcement{}; }, out);
+        }
+        const auto rounds = hosts.counts().heartbeat_rounds;
+        BOOST_TEST((late ? rounds <= 9U : rounds == 50U));
+    }
+}
