Check a request's address before its message is made

An entry of the workers' list with an address of over 64 KB ended each process that called it, and again after each restart: Beast throws std::length_error for a header field of that size, and the exception left the event loop. The address is now parsed first, and one that is not IP:PORT fails its own request. All other header fields of a request are shorter: ids have at most 255 bytes, and tokens are numbers.

--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -279,15 +279,16 @@
         }
         const auto timeout = next_request.call.timeout;
         conn->done = std::move(next_request.done);
+        // Checked before the message is made: a header field has a maximum size.
+        const auto endpoint = parse_address(m_address);
+        if (!endpoint)
+            return finish(conn, tl::make_unexpected(endpoint.error()), false);
         conn->message = to_message(next_request.call);
         conn->parser.emplace();
         conn->parser->body_limit(m_max_reply_bytes);
         conn->stream.expires_after(timeout);
         if (reused)
             return write(conn);
-        const auto endpoint = parse_address(m_address);
-        if (!endpoint)
-            return finish(conn, tl::make_unexpected(endpoint.error()), false);
         ++m_totals->opened_connections;
         conn->stream.async_connect(
             *endpoint,
