Parse ports whole and within their range

The port of a worker's address was read with atoi: was called as 80, and so was 80x, so that an odd entry made hosts call a port that it does not name. http_client now uses the parser of the settings, which takes a numeric address, a port from 1 to 65535 and nothing behind it; it moves to io/ip_port and also checks the IP.

--- a/src/io/edge_settings.cpp
+++ b/src/io/edge_settings.cpp
@@ -1,5 +1,4 @@
 #include "io/edge_settings.hpp"
-#include <charconv>
 #include <fstream>
 #include <sstream>
 #include <yaml-cpp/yaml.h>
@@ -70,21 +69,6 @@
 
 } // namespace
 
-expected<ip_port> parse_ip_port(const std::string& text)
-{
-    const auto colon = text.rfind(':');
-    ip_port result;
-    if (colon != std::string::npos)
-    {
-        result.ip = text.substr(0, colon);
-        const auto* last = text.data() + text.size();
-        if (std::from_chars(text.data() + colon + 1, last, result.port).ptr == last &&
-            result.port > 0 && !result.ip.empty())
-            return result;
-    }
-    return tl::make_unexpected(error{error_kind::bad_input, "'" + text + "' is not IP:PORT"});
-}
-
 expected<edge_settings> parse_edge_settings(const std::string& text)
 {
     YAML::Node root;
--- a/src/io/edge_settings.hpp
+++ b/src/io/edge_settings.hpp
@@ -5,6 +5,7 @@
 // starts.
 
 #include "egretledge/types.hpp"
+#include "io/ip_port.hpp"
 
 namespace egretledge
 {
@@ -38,14 +39,6 @@
 expected<edge_settings> parse_edge_settings(const std::string& text);
 expected<edge_settings> load_edge_settings(const std::string& path);
 
-// The parts of an IP:PORT text. The error of parse_ip_port() quotes the text.
-struct ip_port
-{
-    std::string ip;
-    std::uint16_t port = 0;
-};
-expected<ip_port> parse_ip_port(const std::string& text);
-
 } // namespace egretledge
 
 #endif
--- a/src/io/http_client.cpp
+++ b/src/io/http_client.cpp
@@ -12,6 +12,7 @@
 // is idempotent.
 
 #include "io/http_client.hpp"
+#include "io/ip_port.hpp"
 #include <atomic>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -37,16 +38,10 @@
 
 expected<tcp::endpoint> parse_address(const std::string& address)
 {
-    const auto colon = address.rfind(':');
-    error_code code;
-    const auto ip = net::ip::make_address(address.substr(0, colon), code);
-    int port = 0;
-    if (!code && colon != std::string::npos)
-        port = std::atoi(address.c_str() + colon + 1);
-    if (code || port <= 0 || port > 65535)
-        return tl::make_unexpected(
-            error{error_kind::bad_input, "'" + address + "' is not IP:PORT"});
-    return tcp::endpoint{ip, static_cast<std::uint16_t>(port)};
+    const auto parts = parse_ip_port(address);
+    if (!parts)
+        return tl::make_unexpected(parts.error());
+    return tcp::endpoint{net::ip::make_address(parts->ip), parts->port};
 }
 
 http::request<http::string_body> to_message(http_call& call)
