--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -244,6 +244,41 @@
     BOOST_TEST(host.caller_status("POST", target, std::string(1000, ' ')) == 400U); // not a job
 }
 
+// Guards against callers that leave before their answer and are never released: after 3,000 of them
+// a host closed every new connection unread, and said that it was ready.
+BOOST_AUTO_TEST_CASE(callers_that_leave_early_are_released)
+{
+    using boost::asio::ip::tcp;
+    // Jobs wait for workers, of which there are none.
+    const running_host host(
+        R"({"version":1,"routes":[{"name":"r","host":"h.example","path_prefix":"/q/","service":"s",)"
+        R"("slo_ms":60000,"timeout_ms":60000}],"services":[]})");
+    BOOST_REQUIRE(host.serves());
+    const auto address = parse_ip_port(host.settings.callers);
+    const std::string job =
+        R"({"spec":"x","best_effort":true,"steps":[{"count":1,"cpu":1,"est_ms":1000}]})";
+    boost::asio::io_context context;
+    constexpr int callers = 3200;
+    for (int i = 0; i < callers; ++i)
+    {
+        tcp::socket socket(context);
+        socket.connect({boost::asio::ip::make_address(address->ip), address->port});
+        std::string id = std::to_string(i);
+        id.insert(0, 16 - id.size(), '0');
+        const std::string request = "POST /q/" + id +
+                                    " HTTP/1.1\r\nHost: h.example\r\nTimeout-Ms: 60000\r\n"
+                                    "Content-Length: " +
+                                    std::to_string(job.size()) + "\r\n\r\n" + job;
+        boost::asio::write(socket, boost::asio::buffer(request));
+        std::this_thread::sleep_for(std::chrono::microseconds{200});
+    }
+    constexpr int tries = 250;
+    for (int i = 0; i < tries && host.daemon->open_callers() > 0; ++i)
+        std::this_thread::sleep_for(milliseconds{20});
+    BOOST_TEST(host.daemon->open_callers() == 0U);
+    BOOST_TEST(host.caller_status("GET", "/q/") == 200U);
+}
+
 // Guards against memory for callers' connections and bodies behind an address that serves checks.
 BOOST_AUTO_TEST_CASE(the_readiness_address_takes_few_connections_and_small_bodies)
 {
