Wait for the runs of a call's former end before its job is placed anew

The runs of that call were being stopped in the host's own pool, and the new call was offered to a pool of another data centre, which started the task while the former run was up.

Cause: a pool waits for the runs of a job that it is ending, but a call that goes to another pool did not. The call router kept how the former call had ended, and used it for the truth of a refusal only.

--- a/src/pool/call_router.cpp
+++ b/src/pool/call_router.cpp
@@ -222,6 +222,12 @@
     call.job = std::move(job);
     call.arrived = now.steady;
     call.may_have_run = past != m_past.end();
+    if (past != m_past.end())
+    {
+        // The runs of the former call are being stopped.
+        call.runs_expire_at = past->second.when + m_settings.lost_worker_timeout;
+        call.orphan = now.steady < call.runs_expire_at;
+    }
     m_by_job[call.job.id] = number;
     auto& kept = m_calls.emplace(number, std::move(call)).first->second;
     dispatch(now.steady, kept, out);
