Start nothing on a worker by the entry of its former process

A worker now takes tasks only while its entry and its replies are of the same process; either may be the older one. It is idle until its entry is read, which an executor writes at its start. The model's workers register 0.7 s after each restart, where hosts had never been told of a restart that no task had caused; that is what the hole was.

Test: a_restarted_worker_gets_no_task_by_the_entry_of_its_former_process, red before (one start by the former entry).

--- a/harness/pool_simulation.cpp
+++ b/harness/pool_simulation.cpp
@@ -27,6 +27,8 @@
 // A deadly task terminates its worker this long after its start.
 constexpr microseconds crash_delay{30000};
 constexpr microseconds capacity_grace_period{50000};
+// A worker that starts again registers itself, and the hosts read its entry, within this time.
+constexpr microseconds registration_delay{700000};
 constexpr std::uint32_t min_crashes_to_fail = 2; // a job may be given up from then on
 constexpr std::uint32_t max_crashes_of_task = 3;
 constexpr std::uint32_t max_starts_after_crashes = 2; // the third one breaks the rule
@@ -426,8 +428,10 @@
 
 void pool_simulation::restart_worker(std::uint32_t index)
 {
-    if (!m_workers[index]->up())
-        m_workers[index]->restart(m_now);
+    if (m_workers[index]->up())
+        return;
+    m_workers[index]->restart(m_now);
+    at(m_now + registration_delay, [this] { publish_registry(); });
 }
 
 void pool_simulation::set_worker_capacity(std::uint32_t index, const resources& capacity)
@@ -981,11 +985,7 @@
     for (std::uint32_t index = 0; index < worker_count(); ++index)
         if (m_workers[index]->entry().id == worker)
             at(m_now + m_settings.crashed_worker_downtime,
-               [this, index]
-               {
-                   restart_worker(index);
-                   publish_registry();
-               });
+               [this, index] { restart_worker(index); });
 }
 
 std::vector<std::string> pool_simulation::violations()
--- a/harness/pool_simulation.hpp
+++ b/harness/pool_simulation.hpp
@@ -60,8 +60,7 @@
     std::uint32_t max_calls = 6;
     // If set, messages from one host to another arrive in the order in which they were sent.
     bool ordered_messages = false;
-    // A worker that a task has crashed restarts after this time. Its registry entry shows the new
-    // start time to all hosts then.
+    // A worker that a task has crashed restarts after this time.
     milliseconds crashed_worker_downtime{3000};
     processor_settings processor;
 };
@@ -170,6 +169,7 @@
     std::uint32_t worker_count() const { return static_cast<std::uint32_t>(m_workers.size()); }
     standin::pool_worker_model& worker(std::uint32_t index);
     void crash_worker(std::uint32_t index);
+    // Starts a new process of the worker. All hosts read its new registry entry 0.7 s later.
     void restart_worker(std::uint32_t index);
     // Changes the capacity that a worker states in its registry entry, and passes the entry on to
     // all hosts. A smaller capacity is checked from 50 ms later on: orders are under way. The
--- a/src/pool/held_worker.hpp
+++ b/src/pool/held_worker.hpp
@@ -90,6 +90,13 @@
     void set_lossy(bool lossy) { m_lossy = lossy; }
     // Sets how late this process handles the worker's answers; orders wait longer by it.
     void set_processing_delay(milliseconds delay) { m_processing_delay = delay; }
+    // Returns false if the registry entry is known to be of another process than the one that
+    // answers: its service, labels and capacity then say nothing about the latter.
+    bool entry_is_current() const
+    {
+        return m_start_time_ms == 0 || m_entry.start_time_ms == 0 ||
+               m_start_time_ms == m_entry.start_time_ms;
+    }
     // Start time of the worker's process, by its latest reply; 0 if unknown.
     std::uint64_t start_time_ms() const { return m_start_time_ms; }
     bool idle() const { return m_runs.empty(); }
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -37,7 +37,8 @@
 
 bool worker_pool::accepts(const worker_record& record, microseconds now) const
 {
-    if (!record.worker.usable() || record.leaving || record.unregistered || record.handed_over)
+    if (!record.worker.usable() || !record.worker.entry_is_current() || record.leaving ||
+        record.unregistered || record.handed_over)
         return false;
     if (now < record.quarantined_until)
         return false;
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -162,6 +162,68 @@
     BOOST_TEST(notes.not_started.empty());
 }
 
+// Guards against a task on a worker of the wrong kind: the worker had started again as another one,
+// and the entry of its former process decided until the list was read again.
+BOOST_AUTO_TEST_CASE(a_restarted_worker_gets_no_task_by_the_entry_of_its_former_process)
+{
+    worker_pool pool({}, 9);
+    action_list out;
+    auto entry = make_worker_entry("w1");
+    entry.labels = {"a"};
+    entry.start_time_ms = 7;
+    pool.acquire({at_ms(1), milliseconds{1000}}, entry, out);
+    const auto reply_to_holds = [&](microseconds now, std::uint64_t start_time_ms)
+    {
+        action_list sent;
+        std::swap(sent, out);
+        for (const auto& action : sent)
+            if (const auto* hold = std::get_if<actions::hold_worker>(&action))
+            {
+                auto answer = worker_fixture::accepted(now.count() / 1000);
+                answer.start_time_ms = start_time_ms;
+                pool.on_worker_reply(now, hold->request, answer, out);
+            }
+    };
+    const auto submit = [&](microseconds now, const std::string& id, const std::string& label)
+    {
+        job_request job;
+        job.id = id;
+        job_step step;
+        step.count = 1;
+        step.demand = usual_task;
+        step.estimate = milliseconds{50};
+        step.required_label = label;
+        job.steps = {step};
+        job.terms = {"r",
+                     make_worker_entry("w1").service,
+                     0,
+                     3,
+                     1.6,
+                     milliseconds{2000},
+                     milliseconds{5000}};
+        pool.submit(now, job, {{}, 0, static_cast<std::uint64_t>(now.count())}, milliseconds{0},
+                    out);
+    };
+    const auto starts = [&]
+    {
+        return std::count_if(out.begin(), out.end(),
+                             [](const action& action)
+                             { return std::holds_alternative<actions::start_run>(action); });
+    };
+    reply_to_holds(at_ms(3), 8); // a new process
+    pool.tick(at_ms(10), out);
+    reply_to_holds(at_ms(12), 8); // accepts the raised token
+    submit(at_ms(14), "former", "a");
+    pool.tick(at_ms(20), out);
+    BOOST_TEST(starts() == 0);
+    entry.labels = {"b"};
+    entry.start_time_ms = 8;
+    pool.on_registry({{"w1", entry}});
+    submit(at_ms(22), "present", "b");
+    pool.tick(at_ms(30), out);
+    BOOST_TEST(starts() == 1);
+}
+
 // Guards against a process that ends by a division by zero: a registry entry without processors was
 // held before any task had been placed. One with an absurd capacity must not use up the memory.
 BOOST_AUTO_TEST_CASE(a_worker_of_absurd_capacity_does_not_end_the_process)
