Take only records that can be a host's for hosts

The records of entry hosts were taken with any address and any key: one of another writer could name an address that is none, and a key that is not UTF-8, which heartbeats with the list of known hosts then carried so that nobody could read them. Test: an_odd_host_record_names_no_host.

--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -3,8 +3,10 @@
 
 #include "io/http_client.hpp"
 #include "io/http_server.hpp"
+#include "io/peer_bus.hpp"
 #include "platform/store_client.hpp"
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -184,6 +186,17 @@
     }
 }
 
+// Guards against a process that ends when it is to connect to a host whose record is malformed, and
+// against heartbeats that nobody can read since they name such a host.
+BOOST_AUTO_TEST_CASE(an_odd_host_record_names_no_host)
+{
+    BOOST_TEST(decode_host(R"({"address":"tcp://10.0.0.1:7720","incarnation":5})").has_value());
+    for (const char* address : {"10.0.0.1:7720", "tcp://10.0.0.1:70000", "tcp://10.0.0.1", "x://1",
+                                "tcp://host.example:80", "tcp://10.0.0.1:80\n", ""})
+        BOOST_TEST(!decode_host(std::string(R"({"incarnation":5,"address":")") + address + "\"}"),
+                   address);
+}
+
 // Guards against workers that are counted and called although their entry names no address, is
 // larger than any executor's, or can't be passed on in a header.
 BOOST_AUTO_TEST_CASE(an_odd_entry_names_no_worker)
