Log a peer that cannot be connected to, and go on

An address that ZeroMQ does not take ended the process: the exception of connect() left the bus's thread (SIGABRT in the new test).

Messages to such a host are dropped and counted, it is logged once for each address, and the others stay connected.

Test: a_host_that_cannot_be_connected_to_leaves_the_others_connected.

--- a/src/io/peer_bus.cpp
+++ b/src/io/peer_bus.cpp
@@ -13,8 +13,10 @@
 // returned false, so it is read after the pause has begun and cannot be missed.
 
 #include "io/peer_bus.hpp"
+#include "io/logging.hpp"
 #include <array>
 #include <mutex>
+#include <set>
 #include <stdexcept>
 #include <zmq.hpp>
 #include <zmq_addon.hpp>
@@ -78,6 +80,7 @@
     std::mutex command_mutex;
     std::map<std::string, std::string> addresses;
     std::map<std::string, zmq::socket_t> senders;
+    std::set<std::string> unreachable; // hosts to which no socket could be made; logged once
 };
 
 peer_bus::peer_bus(peer_bus_settings settings, handler on_message)
@@ -262,14 +265,27 @@
             {
                 const auto address = part_to_string(message[2]);
                 if (s.addresses[host] != address)
+                {
                     s.senders.erase(host);
+                    s.unreachable.erase(host);
+                }
                 if (address.empty())
                     s.addresses.erase(host);
                 else
                     s.addresses[host] = address;
                 continue;
             }
-            auto* sender = sender_to(host);
+            zmq::socket_t* sender = nullptr;
+            try
+            {
+                sender = sender_to(host);
+            }
+            catch (const zmq::error_t& e)
+            {
+                if (s.unreachable.insert(host).second)
+                    log_line("error", "event=peer_not_connected peer=" + host + " address=" +
+                                          s.addresses[host] + " reason=\"" + e.what() + '"');
+            }
             const auto size = message[2].size();
             if (sender == nullptr || !sender->send(message[2], zmq::send_flags::dontwait))
                 ++m_dropped;
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -197,6 +197,31 @@
                    address);
 }
 
+// Guards against a process that ends since no socket to a host can be made: the exception left the
+// bus's thread.
+BOOST_AUTO_TEST_CASE(a_host_that_cannot_be_connected_to_leaves_the_others_connected)
+{
+    std::atomic<int> received{0};
+    peer_bus receiver({},
+                      [&](const wire::PeerMessage&)
+                      {
+                          ++received;
+                          return true;
+                      });
+    peer_bus sender({}, [](const wire::PeerMessage&) { return true; });
+    sender.set_address("odd", "tcp://no such address");
+    sender.set_address("other", "x://1");
+    sender.set_address("good", receiver.endpoint());
+    for (int i = 0; i < 400 && received == 0; ++i)
+    {
+        for (const char* host : {"odd", "other", "good"})
+            sender.send(host, {});
+        std::this_thread::sleep_for(std::chrono::milliseconds{5});
+    }
+    BOOST_TEST(received > 0);
+    BOOST_TEST(sender.dropped() > 0U);
+}
+
 // Guards against workers that are counted and called although their entry names no address, is
 // larger than any executor's, or can't be passed on in a header.
 BOOST_AUTO_TEST_CASE(an_odd_entry_names_no_worker)
