Answer the open calls when a planned stop reaches its time limit

Cause: an overdue stop ended the process, and the calls with it. When the stop is done or overdue, each open call is now answered: 504, since its outcome is not known, if its job was offered anywhere; else the refusal that is true. Offers are withdrawn as with any answer, and the flush period that was kept for last answers sends them. A longer wait is no way out: the platform ends the process after grace_s.

Test: a_planned_stop_answers_every_open_call (the function is new, so that it does not compile before).

--- a/harness/pool_schedule_grown.cpp
+++ b/harness/pool_schedule_grown.cpp
@@ -148,7 +148,10 @@
             return;
         const auto stage = present->stop_progress(m_simulation->now());
         if (stage == stop_stage::done || stage == stop_stage::overdue)
+        {
+            m_simulation->finish_stop(host);
             return restart(host, downtime);
+        }
         schedule_after(milliseconds{100},
                        [this, host, stopping, downtime] { end_stop(host, stopping, downtime); });
     }
--- a/harness/pool_simulation.cpp
+++ b/harness/pool_simulation.cpp
@@ -344,6 +344,20 @@
               [](pool_host& host, instant now, action_list& out) { host.begin_stop(now, out); });
 }
 
+void pool_simulation::finish_stop(std::uint32_t index)
+{
+    const auto& state = *m_hosts[index];
+    // A host that is paused or behind has not read all calls.
+    if (m_now < state.frozen_until || m_now < state.backlog_until || !state.work.empty())
+        return;
+    call_host_now(index,
+                  [](pool_host& host, instant now, action_list& out) { host.end_calls(now, out); });
+    for (const auto& call : m_calls)
+        if (!call.broken && call.answered.count() < 0 &&
+            call.answer.detail == std::to_string(index))
+            add_violation("a planned stop left a call without an answer: " + call.job);
+}
+
 const pool_host* pool_simulation::host(std::uint32_t index) const
 {
     return m_hosts[index]->logic.get();
--- a/harness/pool_simulation.hpp
+++ b/harness/pool_simulation.hpp
@@ -147,6 +147,9 @@
     void slow_host(std::uint32_t host, microseconds max_delay);
     // Begins a graceful stop.
     void stop_host(std::uint32_t host);
+    // Ends a graceful stop that is done or overdue: the host answers what is open, and a call that
+    // it has read and leaves open is a violation. The caller of this function ends the process.
+    void finish_stop(std::uint32_t host);
     // Returns a null pointer if the host is down.
     const pool::pool_host* host(std::uint32_t index) const;
     // Starts or ends a network partition between two hosts. Messages sent during the partition are
--- a/src/pool/call_router.cpp
+++ b/src/pool/call_router.cpp
@@ -553,6 +553,20 @@
     return true;
 }
 
+void call_router::end_calls(microseconds now, action_list& out)
+{
+    while (!m_calls.empty())
+    {
+        const auto& [number, call] = *m_calls.begin();
+        const bool offered = call.offer != 0 || call.orphan || call.may_have_run;
+        resolve(now, number,
+                offered ? call_answer{answer_kind::worker_lost, {}, "this host is stopping"}
+                        : call_answer{answer_kind::over_capacity, no_pool_retry_after,
+                                      "this host is stopping"},
+                out);
+    }
+}
+
 void call_router::tick(microseconds now, action_list& out)
 {
     std::vector<std::uint64_t> silent_pool_calls;
--- a/src/pool/call_router.hpp
+++ b/src/pool/call_router.hpp
@@ -59,6 +59,9 @@
     // The same for a result of this host's own pool.
     void on_local_result(microseconds now, const pool_result& result, action_list& out);
     void tick(microseconds now, action_list& out);
+    // Answers all open calls before this process ends: as not run if that is known, else as
+    // unknown. Their offers are withdrawn.
+    void end_calls(microseconds now, action_list& out);
 
     // Returns the answer that may be given to the caller. A "not run" answer is replaced by
     // worker_lost unless the job has not started anywhere recently and this host would know if it
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -553,6 +553,13 @@
     set_senders(out);
 }
 
+void pool_host::end_calls(instant now, action_list& out)
+{
+    m_call_router.end_calls(now.steady, out);
+    forward_results(now, out);
+    set_senders(out);
+}
+
 stop_stage pool_host::stop_progress(microseconds now) const
 {
     if (!m_leaving)
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -112,6 +112,8 @@
     // Begins a planned stop. Further calls have no effect.
     void begin_stop(instant now, action_list& out);
     stop_stage stop_progress(microseconds now) const;
+    // Answers the calls that are still open when a stop is overdue. The process then ends.
+    void end_calls(instant now, action_list& out);
     // Returns false if a job accepted now might not end before the process has to: after half of
     // `stop_timeout`.
     bool accepts_jobs(microseconds now) const;
--- a/tests/pool_world_test.cpp
+++ b/tests/pool_world_test.cpp
@@ -135,6 +135,54 @@
     BOOST_TEST((host.stop_progress(at_ms(6800)) == stop_stage::overdue));
 }
 
+// Guards against callers whose connections end without an answer: their jobs waited at another
+// host's pool, or for one, when the time limit of a planned stop passed.
+BOOST_AUTO_TEST_CASE(a_planned_stop_answers_every_open_call)
+{
+    for (const bool first_start : {false, true})
+    {
+        pool_host_settings settings;
+        settings.membership.self = {"h1", 1};
+        settings.membership.address = "h1";
+        settings.first_start = first_start;
+        pool_host host(settings);
+        action_list out;
+        host.tick({at_ms(0), 0ms}, out);
+        wire::PeerMessage message;
+        message.mutable_from()->set_name("h2");
+        message.mutable_from()->set_incarnation(1);
+        message.mutable_pool_beat()->set_sequence(1);
+        message.mutable_pool_beat()->set_address("h2");
+        message.mutable_pool_beat()->set_total_cpu(16000);
+        const auto submit = [&](std::uint64_t call)
+        {
+            job_request job;
+            job.id = "job" + std::to_string(call);
+            job.steps.push_back({});
+            job.steps.back().count = 1;
+            job.steps.back().estimate = 100ms;
+            job.terms = {"r", "desk", 0, 3, 1.6, 20000ms, 60000ms};
+            host.on_job({at_ms(600), 600ms}, call, job, out);
+        };
+        submit(1); // waits for a pool
+        host.on_peer({at_ms(600), 600ms}, message, out);
+        submit(2); // offered to h2
+        host.begin_stop({at_ms(700), 700ms}, out);
+        BOOST_REQUIRE(!host.stopped());
+        out.clear();
+        host.end_calls({at_ms(800), 800ms}, out);
+        std::map<std::uint64_t, answer_kind> answers;
+        for (const auto& action : out)
+            if (const auto* answer = std::get_if<actions::answer_call>(&action))
+                answers[answer->call] = answer->answer.kind;
+        BOOST_TEST(answers.size() == 2U);
+        BOOST_TEST(
+            (answers[1] == (first_start ? answer_kind::over_capacity : answer_kind::worker_lost)));
+        BOOST_TEST((answers[2] == answer_kind::worker_lost));
+        BOOST_TEST(host.stopped());
+    }
+}
+
 // Guards against missed heartbeats (incident TWICE): at a host with a backlog the timers ran half a
 // second apart, while leases were renewed as answers arrived.
 BOOST_AUTO_TEST_CASE(heartbeats_are_sent_on_time_while_events_are_backlogged)
