Announce the delay of a late host only

Cause: waits are mostly 0, and delays of 0 to 2 ms then decide, so that all hosts of a data centre send their jobs to the same pool. Below 20 ms, where an overload is over, a delay is not announced now, and does not change how long workers' answers are waited for.

--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -278,7 +278,9 @@
 {
     m_delay.observe(now.steady, delay);
     m_membership.set_handling_delay(delay);
-    m_pool.set_processing_delay(m_delay.average());
+    // Differences of a few milliseconds would only draw all jobs to the same pool.
+    const auto average = m_delay.average();
+    m_pool.set_processing_delay(average < m_settings.delay.calm_delay ? milliseconds{0} : average);
 }
 
 void pool_host::update_awaited_lists(instant now, action_list& out)
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -151,6 +151,7 @@
     // Sets how late this process handles its events. What a new job waits for includes it, and
     // workers' answers are waited for longer by it.
     void set_processing_delay(milliseconds delay) { m_processing_delay = delay; }
+    milliseconds processing_delay() const { return m_processing_delay; }
 
     // Load as announced to other hosts. A worker's free capacity is rounded down to a multiple of a
     // usual task's demand, since a smaller remainder cannot run a task.
