--- a/harness/pool_simulation.cpp
+++ b/harness/pool_simulation.cpp
@@ -236,6 +236,8 @@
                                std::function<void()> callback)
 {
     auto& state = *m_hosts[index];
+    if (!state.logic)
+        return;
     state.work.emplace_back(work, std::move(callback));
     if (std::exchange(state.working, true))
         return;
