--- a/src/pool/membership.hpp
+++ b/src/pool/membership.hpp
@@ -145,8 +145,8 @@
     // Returns true once this host knows which host holds which workers. Starts over after a pause
     // of this process.
     bool settled(microseconds now) const;
-    // Returns true if the host is alive and not settled, and has not been heard for so long that it
-    // should have settled.
+    // Returns true if the host is not settled and was heard for the first time, or again after a
+    // silence, within `max_settling_time`. The caller checks that it is alive.
     bool settling(const peer& host, microseconds now) const;
     // Time at which this host last became settled; negative while it is not.
     microseconds settled_at() const { return m_settled_at; }
