--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -81,36 +81,20 @@
 
 int play(const std::string& program, const std::string& record_path)
 {
-    record log(record_path);
-    run_list runs(log);
+    auto& log = keep<record>(record_path);
+    auto& runs = keep<run_list>(log);
     temporary_folder folder;
     const std::vector<std::string> ips{"127.0.0.2", "127.0.0.3"};
     const auto at = choose_ports(ips);
-    store platform("127.0.0.9");
+    auto& platform = keep<store>("127.0.0.9");
     json::array routes{route("r-1", "/lohu930/", service)};
     platform.put("keyed.op", "config", config(7, routes, service));
-    std::vector<std::unique_ptr<executor>> executors;
+    std::vector<executor*> executors;
     for (int i = 0; i < executor_count; ++i)
-        executors.push_back(std::make_unique<executor>(
+        executors.push_back(&keep<executor>(
             "127.0.0.9", executor_options{"i-7f3a91" + std::to_string(10 + i), service, zone},
             runs));
-    std::atomic<bool> stop{false};
-    const auto report_all = [&]
-    {
-        for (auto& entry : executors)
-            platform.put("keyed.servers", entry->options().id, entry->next_report("ready"));
-    };
-    report_all();
-    std::thread reporter(
-        [&]
-        {
-            for (int n = 0; !stop; ++n)
-            {
-                sleep_ms(100);
-                if (n % 15 == 0)
-                    report_all();
-            }
-        });
+    const reporter reports(platform, executors);
     std::vector<std::unique_ptr<edge>> edges;
     for (std::size_t i = 0; i < ips.size(); ++i)
     {
@@ -130,7 +114,7 @@
     const auto short_job = job_id(2);
     const auto long_body = job(work_ms, 2, 6800, work_ms);
     const auto short_body = job(60, 2, 6800, 60);
-    forwarder balancer("127.0.0.9", edges[0]->front());
+    auto& balancer = keep<forwarder>("127.0.0.9", edges[0]->front());
     const int channel = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const auto to = to_address(balancer.address());
     if (::connect(channel, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0)
@@ -176,8 +160,6 @@
         second.join();
     }
     sleep_ms(500);
-    stop = true;
-    reporter.join();
     for (const auto& line : edges[0]->log_lines("caller_gone"))
         log.line("log of " + edges[0]->name() + ": " + line);
 
--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -19,18 +19,18 @@
 
 int play(const std::string& program, const std::string& record_path)
 {
-    record log(record_path);
-    run_list runs(log);
+    auto& log = keep<record>(record_path);
+    auto& runs = keep<run_list>(log);
     temporary_folder folder;
     const std::vector<std::string> ips{"127.0.0.2", "127.0.0.3"};
     const auto at = choose_ports(ips);
-    store platform("127.0.0.9");
+    auto& platform = keep<store>("127.0.0.9");
     json::array routes{route("r-1", "/lohu930/", service)};
     platform.put("keyed.op", "config", config(7, routes, service));
 
-    std::vector<std::unique_ptr<executor>> executors;
+    std::vector<executor*> executors;
     for (int i = 0; i < 4; ++i)
-        executors.push_back(std::make_unique<executor>(
+        executors.push_back(&keep<executor>(
             "127.0.0.9", executor_options{"i-7f3a91c" + std::to_string(i), service, zone}, runs));
     const auto report = [&](executor& from, const char* state)
     { platform.put("keyed.servers", from.options().id, from.next_report(state)); };
@@ -74,18 +74,8 @@
             });
 
     // Reports in turn, until the leaving executor's last report of "ready".
+    const reporter reports(platform, {executors.begin() + 1, executors.end()});
     const auto begin = now_ms();
-    std::vector<std::thread> reporters;
-    for (std::size_t i = 1; i < executors.size(); ++i)
-        reporters.emplace_back(
-            [&, i]
-            {
-                for (int n = 1; !stop; ++n)
-                {
-                    report(*executors[i], "ready");
-                    sleep_until_ms(begin + n * report_interval);
-                }
-            });
     auto& leaving = *executors[0];
     report(leaving, "ready");
     sleep_until_ms(begin + report_interval);
@@ -120,8 +110,6 @@
     stop = true;
     for (auto& thread : clients)
         thread.join();
-    for (auto& thread : reporters)
-        thread.join();
 
     int crashed = 0;
     std::size_t known = 0;
--- a/review/standin-2/standin.hpp
+++ b/review/standin-2/standin.hpp
@@ -29,6 +29,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -64,6 +65,13 @@
     sleep_ms(std::max<std::int64_t>(0, time - now_ms()));
 }
 
+// Makes an object that lives until the process ends, since detached threads use it.
+template <class Kept, class... Arguments>
+Kept& keep(Arguments&&... arguments)
+{
+    return *new Kept(std::forward<Arguments>(arguments)...);
+}
+
 // Whether the disruption is made; TROUBLE=0 plays the case without it.
 inline bool with_trouble()
 {
@@ -665,6 +673,30 @@
     http_server m_server;
 };
 
+// Writes the executors' liveness reports to the store, each `interval` ms, until it is destroyed.
+class reporter
+{
+public:
+    reporter(store& to, std::vector<executor*> from, std::int64_t interval = 1500)
+        : m_thread(
+              [&to, from = std::move(from), interval](const std::stop_token& stop)
+              {
+                  for (auto next = now_ms(); !stop.stop_requested(); sleep_ms(20))
+                  {
+                      if (now_ms() < next)
+                          continue;
+                      next += interval;
+                      for (auto* entry : from)
+                          to.put("keyed.servers", entry->options().id, entry->next_report("ready"));
+                  }
+              })
+    {
+    }
+
+private:
+    std::jthread m_thread;
+};
+
 // A folder that is removed at the end.
 class temporary_folder
 {
@@ -769,6 +801,7 @@
         m_process = ::fork();
         if (m_process != 0)
             return;
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL); // should the driver itself be killed
         const int log = ::open(m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(log, STDOUT_FILENO);
         ::dup2(log, STDERR_FILENO);
