--- a/review/standin-2/standin.hpp
+++ b/review/standin-2/standin.hpp
@@ -352,6 +352,12 @@
         add(topic, std::string(1, static_cast<char>(key.size())) + key + value);
     }
 
+    bool has(const std::string& topic, const std::string& key)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_topics[topic].newest.contains(key);
+    }
+
 private:
     struct topic_state
     {
