--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,5 +1,5 @@
-// TWICE: a client's channel that carries two pipelined jobs is reset. The host does not notice,
-// runs the first job on, and the client's second attempt runs it at the same time.
+// CONFIG: a machine that the store turns away runs tasks of a new queue for the others, and then
+// answers its own callers that there is no such queue.
 
 #include "standin.hpp"
 
@@ -8,178 +8,97 @@
 namespace
 {
 
-constexpr std::int64_t retry_ms = 1300;
-constexpr std::int64_t work_ms = 4000;
-constexpr int executor_count = 26; // more than one host takes
+constexpr std::int64_t rollback_slack_ms = 250;
 constexpr const char* service = "huvo11a";
 constexpr const char* zone = "iloilo-city";
 constexpr const char* host = "nony24.example";
 
-// The platform's balancer for one channel: forwards the bytes both ways until it is told to reset
-// the channel.
-class forwarder
-{
-public:
-    forwarder(const std::string& ip, std::string to) : m_to(std::move(to))
-    {
-        m_socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        auto address = to_address(ip + ":0");
-        socklen_t size = sizeof address;
-        if (::bind(m_socket, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
-            ::listen(m_socket, 16) != 0)
-            throw std::runtime_error("cannot listen on " + ip);
-        ::getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &size);
-        m_address = ip + ":" + std::to_string(ntohs(address.sin_port));
-        std::thread([this] { forward(); }).detach();
-    }
-    const std::string& address() const { return m_address; }
-    void reset() { m_reset = true; }
-
-private:
-    void forward()
-    {
-        const int client = ::accept4(m_socket, nullptr, nullptr, SOCK_CLOEXEC);
-        const int server = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        const auto to = to_address(m_to);
-        bool open = ::connect(server, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0;
-        while (open && !m_reset)
-        {
-            pollfd items[2] = {{client, POLLIN, 0}, {server, POLLIN, 0}};
-            if (::poll(items, 2, 10) <= 0)
-                continue;
-            for (int i = 0; i < 2 && open; ++i)
-            {
-                if (items[i].revents == 0)
-                    continue;
-                char bytes[65536];
-                const auto got = ::recv(items[i].fd, bytes, sizeof bytes, 0);
-                open = got > 0 && write_all(items[1 - i].fd,
-                                            std::string(bytes, static_cast<std::size_t>(got)));
-            }
-        }
-        const linger at_once{1, 0};
-        for (const int channel : {client, server})
-        {
-            if (m_reset)
-                ::setsockopt(channel, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
-            ::close(channel);
-        }
-    }
-
-    std::string m_to;
-    int m_socket = -1;
-    std::string m_address;
-    std::atomic<bool> m_reset{false};
-};
-
-std::string post(const std::string& id, const std::string& body)
-{
-    return "POST /lohu930/" + id + " HTTP/1.1\r\nHost: " + host +
-           "\r\nContent-Type: application/json\r\nTimeout-Ms: 8000\r\nContent-Length: " +
-           std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 int play(const std::string& program, const std::string& record_path)
 {
     auto& log = keep<record>(record_path);
     auto& runs = keep<run_list>(log);
     temporary_folder folder;
-    const std::vector<std::string> ips{"127.0.0.2", "127.0.0.3"};
+    const std::vector<std::string> ips{"127.0.0.2", "127.0.0.3", "127.0.0.4"};
     const auto at = choose_ports(ips);
     auto& platform = keep<store>("127.0.0.9");
+    auto& turned_away = keep<std::vector<std::atomic<bool>>>(ips.size());
     json::array routes{route("r-1", "/lohu930/", service)};
     platform.put("keyed.op", "config", config(7, routes, service));
+
     std::vector<executor*> executors;
-    for (int i = 0; i < executor_count; ++i)
+    for (int i = 0; i < 4; ++i)
         executors.push_back(&keep<executor>(
-            "127.0.0.9", executor_options{"i-7f3a91" + std::to_string(10 + i), service, zone},
-            runs));
+            "127.0.0.9", executor_options{"i-7f3a91c" + std::to_string(i), service, zone}, runs));
     const reporter reports(platform, executors);
     std::vector<std::unique_ptr<edge>> edges;
     for (std::size_t i = 0; i < ips.size(); ++i)
     {
-        edges.push_back(std::make_unique<edge>(program, folder.path(),
-                                               "edge-" + std::to_string(i + 1), zone, ips[i], at,
-                                               ips, platform.address()));
+        const auto door = platform.open_door("127.0.0.9", [&, i] { return turned_away[i].load(); });
+        edges.push_back(std::make_unique<edge>(
+            program, folder.path(), "edge-" + std::to_string(i + 1), zone, ips[i], at, ips, door));
         edges.back()->start(true);
     }
+    bool ready = true;
     for (auto& entry : edges)
-        if (!entry->wait_until_ready(15000))
-            return exit_could_not_run;
-    sleep_ms(4000);
-    for (auto& entry : edges)
-        log.line("state of " + entry->name() + ": " + entry->state());
-
-    const auto long_job = job_id(1);
-    const auto short_job = job_id(2);
-    const auto long_body = job(work_ms, 2, 6800, work_ms);
-    const auto short_body = job(60, 2, 6800, 60);
-    auto& balancer = keep<forwarder>("127.0.0.9", edges[0]->front());
-    const int channel = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const auto to = to_address(balancer.address());
-    if (::connect(channel, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0)
-        return exit_could_not_run;
-    const auto begin = now_ms();
-    log.line("the client sends jobs " + long_job + " and " + short_job + " on one channel to " +
-             edges[0]->name());
-    write_all(channel, post(long_job, long_body));
-    sleep_until_ms(begin + 200);
-    write_all(channel, post(short_job, short_body));
-    if (with_trouble())
-    {
-        sleep_until_ms(begin + 1000);
-        balancer.reset();
-        log.line("the channel is reset");
-    }
-    std::string buffer;
-    int answers = 0;
-    for (std::size_t head = 0, size = 0;
-         answers < 2 && read_message(channel, buffer, head, size, 8000); ++answers)
-    {
-        log.line("answer on the channel: " + buffer.substr(0, 12) + " " +
-                 buffer.substr(head, size));
-        buffer.erase(0, head + size);
-    }
-    ::close(channel);
-    if (with_trouble())
+        ready = entry->wait_until_ready(15000) && ready;
+    sleep_ms(4000); // longer than stable_window_ms
+    std::size_t holder = edges.size();
+    for (std::size_t i = 0; i < edges.size(); ++i)
     {
-        log.line("the channel is broken; the client sends both jobs again " +
-                 std::to_string(retry_ms) + " ms later, to " + edges[1]->name());
-        sleep_ms(retry_ms);
-        std::thread second(
-            [&]
-            {
-                const auto answer = call(edges[1]->front(), "POST", "/lohu930/" + short_job, host,
-                                         short_body, 8000, "Timeout-Ms: 8000\r\n");
-                log.line("job " + short_job + " is answered: " + std::to_string(answer.status));
-            });
-        const auto answer = call(edges[1]->front(), "POST", "/lohu930/" + long_job, host, long_body,
-                                 8000, "Timeout-Ms: 8000\r\n");
-        log.line("job " + long_job + " is answered: " + std::to_string(answer.status) + " " +
-                 answer.body);
-        second.join();
+        log.line("state of " + edges[i]->name() + ": " + edges[i]->state());
+        for (const auto& entry : executors)
+            if (edges[i]->state().find("\"" + entry->options().id + "\"") != std::string::npos)
+                holder = i;
     }
-    sleep_ms(500);
-    for (const auto& line : edges[0]->log_lines("caller_gone"))
-        log.line("log of " + edges[0]->name() + ": " + line);
+    if (!ready || holder == edges.size())
+        return exit_could_not_run;
+    const auto other = (holder + 1) % edges.size();
 
-    const auto all = runs.all();
-    int broken = 0;
-    for (std::size_t i = 0; i < all.size(); ++i)
-        for (std::size_t j = i + 1; j < all.size(); ++j)
+    turned_away[holder] = with_trouble();
+    if (with_trouble())
+        log.line("the store turns " + edges[holder]->name() + " away");
+    sleep_ms(300);
+    routes.push_back(route("r-2", "/pufi791/", service));
+    platform.put("keyed.op", "config", config(9, routes, service));
+    const auto confirmed = now_ms();
+    log.line("the store confirms version 9, which adds /pufi791/");
+    sleep_ms(100);
+    // A client in front of another machine uses the new queue.
+    const auto first = call(edges[other]->front(), "POST", "/pufi791/" + job_id(1), host,
+                            job(60, 2, 6800, 60), 1500, "Timeout-Ms: 1500\r\n");
+    log.line(edges[other]->name() + " answers a job on /pufi791/: " + std::to_string(first.status) +
+             " " + first.body);
+    std::int64_t effect = -1;
+    std::string effect_at;
+    for (const auto& run : runs.all())
+        if (run.task.starts_with(job_id(1)) && effect < 0)
         {
-            const auto& a = all[i];
-            const auto& b = all[j];
-            if (a.task != b.task || (a.ended >= 0 && a.ended <= b.started))
-                continue;
-            ++broken;
-            log.line("TWICE broken: task " + a.task + " ran on " + a.executor + " from " +
-                     std::to_string(a.started) + " to " + std::to_string(a.ended) + " and on " +
-                     b.executor + " from " + std::to_string(b.started) + " to " +
-                     std::to_string(b.ended));
+            effect = run.started;
+            effect_at = run.executor;
         }
-    if (all.empty() || (!with_trouble() && answers != 2))
+    const bool sent_by_holder =
+        edges[holder]->state().find("\"" + effect_at + "\"") != std::string::npos;
+    if (first.status != 200 || effect < 0 || !sent_by_holder)
+    {
+        log.line("the job did not run on an executor of " + edges[holder]->name());
         return exit_could_not_run;
+    }
+    int broken = 0;
+    for (int n = 2; n < 12; ++n)
+    {
+        sleep_until_ms(effect + rollback_slack_ms + 30 + (n - 2) * 100);
+        const auto sent = now_ms();
+        const auto answer = call(edges[holder]->front(), "POST", "/pufi791/" + job_id(n), host,
+                                 job(60, 2, 6800, 60), 1500, "Timeout-Ms: 1500\r\n");
+        log.line(edges[holder]->name() + " answers a job on /pufi791/ sent " +
+                 std::to_string(sent - effect) + " ms after it started a task of that queue, " +
+                 std::to_string(sent - confirmed) + " ms after the confirmation: " +
+                 std::to_string(answer.status) + " " + answer.body);
+        broken += answer.status == 404 ? 1 : 0;
+    }
+    for (const auto& line : edges[holder]->log_lines("config"))
+        log.line("log of " + edges[holder]->name() + ": " + line);
+    log.line("requests handled as only the older version allows: " + std::to_string(broken));
     return broken > 0 ? exit_broken : exit_held;
 }
 
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,5 +1,5 @@
-// UNASKED: a client that has moved to another zone cancels its job there. The answer says that no
-// such job exists, and the job runs on.
+// RECOVER: after all hosts were killed at once, no wide job is taken on any more, though the
+// executors are idle and served such jobs until the fault.
 
 #include "standin.hpp"
 
@@ -8,83 +8,123 @@
 namespace
 {
 
-constexpr std::int64_t cancel_ms = 3000;
-constexpr std::int64_t stop_ms = 50;
-constexpr std::int64_t work_ms = 9000;
+constexpr std::int64_t recovery_ms = 12000;
+constexpr std::int64_t down_ms = 1100;
+constexpr std::int64_t job_interval = 200;
 constexpr const char* service = "huvo11a";
+constexpr const char* zone = "iloilo-city";
 constexpr const char* host = "nony24.example";
 
+struct sent_job
+{
+    std::int64_t sent = 0;
+    int status = 0;
+};
+
 int play(const std::string& program, const std::string& record_path)
 {
     auto& log = keep<record>(record_path);
     auto& runs = keep<run_list>(log);
     temporary_folder folder;
     const std::vector<std::string> ips{"127.0.0.2", "127.0.0.3", "127.0.0.4"};
-    const std::vector<std::string> zones{"kinondoni", "ilala", "temeke"};
     const auto at = choose_ports(ips);
     auto& platform = keep<store>("127.0.0.9");
     json::array routes{route("r-1", "/lohu930/", service)};
     platform.put("keyed.op", "config", config(7, routes, service));
 
     std::vector<executor*> executors;
-    for (int i = 0; i < 6; ++i)
-        executors.push_back(
-            &keep<executor>("127.0.0.9",
-                            executor_options{"i-7f3a91c" + std::to_string(i), service,
-                                             zones[static_cast<std::size_t>(i) % zones.size()]},
-                            runs));
+    for (int i = 0; i < 4; ++i)
+        executors.push_back(&keep<executor>(
+            "127.0.0.9", executor_options{"i-7f3a91c" + std::to_string(i), service, zone}, runs));
     const reporter reports(platform, executors);
     std::vector<std::unique_ptr<edge>> edges;
     for (std::size_t i = 0; i < ips.size(); ++i)
     {
-        edges.push_back(std::make_unique<edge>(program, folder.path(), "edge-" + zones[i] + "-1",
-                                               zones[i], ips[i], at, ips, platform.address()));
+        edges.push_back(std::make_unique<edge>(program, folder.path(),
+                                               "edge-" + std::to_string(i + 1), zone, ips[i], at,
+                                               ips, platform.address()));
         edges.back()->start(true);
     }
-    bool ready = true;
     for (auto& entry : edges)
-        ready = entry->wait_until_ready(15000) && ready;
-    sleep_ms(4000); // longer than stable_window_ms
-    if (!ready)
-        return exit_could_not_run;
+        if (!entry->wait_until_ready(15000))
+            return exit_could_not_run;
+    sleep_ms(3000);
 
-    const auto id = job_id(1);
-    std::thread client(
-        [&]
-        {
-            log.line("the client in " + zones[0] + " sends job " + id + " to " + edges[0]->name());
-            const auto answer =
-                call(edges[0]->front(), "POST", "/lohu930/" + id, host,
-                     job(work_ms, 2, 6800, work_ms), 15000, "Timeout-Ms: 15000\r\n");
-            log.line("job " + id + " is answered: " + std::to_string(answer.status) + " " +
-                     answer.body);
-        });
-    sleep_ms(1000);
-    const auto& asked = with_trouble() ? edges[1] : edges[0];
+    // The day's first job has one task; all others have 32, which together need a quarter of the
+    // executors' cores.
+    const auto first = call(edges[0]->front(), "POST", "/lohu930/" + job_id(1), host,
+                            job(100, 1, 500, 100), 1500, "Timeout-Ms: 1500\r\n");
+    log.line("the first job, of one task, is answered: " + std::to_string(first.status) + " " +
+             first.body);
+    std::mutex mutex;
+    std::vector<sent_job> jobs;
+    std::vector<std::thread> calls;
+    const auto send_until = [&](std::int64_t until)
+    {
+        for (; now_ms() < until; sleep_ms(job_interval))
+            calls.emplace_back(
+                [&, number = static_cast<int>(calls.size()) + 2]
+                {
+                    const auto sent = now_ms();
+                    const auto& to = edges[static_cast<std::size_t>(number) % edges.size()];
+                    const auto answer =
+                        call(to->front(), "POST", "/lohu930/" + job_id(number), host,
+                             job(100, 32, 500, 100), 1500, "Timeout-Ms: 1500\r\n");
+                    const std::lock_guard lock(mutex);
+                    jobs.push_back({sent, answer.status});
+                    log.line("job " + job_id(number) + " of 32 tasks, sent to " + to->name() +
+                             " at " + std::to_string(sent) +
+                             ", is answered: " + std::to_string(answer.status) + " " + answer.body);
+                });
+    };
+    const auto begin = now_ms();
+    send_until(begin + 10000);
+    const auto fault = now_ms();
     if (with_trouble())
-        log.line("the client moves to " + zones[1]);
-    const auto running = runs.all().size();
-    const auto answer = call(asked->front(), "DELETE", "/lohu930/" + id, host, "", 4000);
-    const auto acknowledged = now_ms();
-    log.line(asked->name() + " answers the DELETE: " + std::to_string(answer.status) + " " +
-             answer.body);
-    client.join();
-    sleep_ms(300);
-    const bool cancelled = answer.status == 410 || answer.status / 100 == 2;
-    if (running == 0 || !cancelled)
-        return exit_could_not_run;
-    int broken = 0;
-    for (const auto& run : runs.all())
     {
-        const auto until = run.ended < 0 ? now_ms() : run.ended;
-        if (until <= acknowledged + cancel_ms + stop_ms)
-            continue;
-        ++broken;
-        log.line("UNASKED broken: task " + run.task + " ran on for " +
-                 std::to_string(until - acknowledged) + " ms after its job's cancelling was " +
-                 "acknowledged with " + std::to_string(answer.status) + ", and ended " + run.how);
+        for (auto& entry : edges)
+            entry->kill(SIGKILL);
+        log.line("all machines are killed");
+        send_until(fault + down_ms);
+        for (auto& entry : edges)
+            entry->start(false);
+        log.line("all machines start");
     }
-    return broken > 0 ? exit_broken : exit_held;
+    const auto back = now_ms();
+    send_until(back + recovery_ms + 25000);
+    for (auto& thread : calls)
+        thread.join();
+
+    const auto served_share = [&](std::int64_t from, std::int64_t to, const char* what)
+    {
+        int all = 0;
+        int served = 0;
+        for (const auto& item : jobs)
+            if (item.sent >= from && item.sent < to)
+            {
+                ++all;
+                served += item.status == 200 ? 1 : 0;
+            }
+        log.line(std::string(what) + ": " + std::to_string(served) + " of " + std::to_string(all) +
+                 " jobs served");
+        return all == 0 ? 0.0 : static_cast<double>(served) / all;
+    };
+    const auto before = served_share(begin, fault, "before the fault");
+    const auto after =
+        served_share(back + recovery_ms, now_ms(), "later than recovery_s after the fault");
+    int ready = 0;
+    for (auto& entry : edges)
+    {
+        ready += entry->ready() ? 1 : 0;
+        log.line("state of " + entry->name() + ": " + entry->state());
+        const auto lines = entry->log_lines("event=job_ended");
+        for (std::size_t i = lines.size() < 2 ? 0 : lines.size() - 2; i < lines.size(); ++i)
+            log.line("log of " + entry->name() + ": " + lines[i]);
+    }
+    constexpr double quarter = 0.25;
+    if (before < quarter || ready == 0)
+        return exit_could_not_run;
+    return after < quarter ? exit_broken : exit_held;
 }
 
 } // namespace
