--- a/review/standin-2/standin.hpp
+++ b/review/standin-2/standin.hpp
@@ -504,6 +504,9 @@
         std::thread([this] { work(); }).detach();
     }
     const executor_options& options() const { return m_options; }
+    // Returns after how many ms an order is carried out, without an answer; 0: at once, as usual.
+    // The time that a late order grants counts from then. Set before any order arrives.
+    std::function<std::int64_t(const request&)> late_by;
     // The next liveness report: the value of servers/ID.
     std::string next_report(const std::string& state)
     {
@@ -585,6 +588,22 @@
     {
         if (message.path == "/health")
             return {200, "{}"};
+        const auto late = late_by ? late_by(message) : 0;
+        if (late <= 0)
+            return carry_out(message, 0);
+        std::thread(
+            [this, message, late]
+            {
+                sleep_ms(late);
+                carry_out(message, late);
+            })
+            .detach();
+        sleep_ms(late);
+        return {0, "", "", true};
+    }
+    // `late`: how long ago the order came, in ms.
+    reply carry_out(const request& message, std::int64_t late)
+    {
         std::unique_lock lock(m_mutex);
         const auto instance = message.headers.find("expect-instance");
         if (instance != message.headers.end() && instance->second != m_options.id)
@@ -594,6 +613,11 @@
         if (code || !parsed.is_object())
             return with_clock(400, {});
         const auto& body = parsed.as_object();
+        const auto deadline = [&]
+        {
+            const auto* value = body.if_contains("deadline_ms");
+            return value == nullptr ? 0 : value->to_number<std::int64_t>() + late;
+        }();
         const auto number = [&](const char* name) -> std::int64_t
         {
             const auto* value = body.if_contains(name);
@@ -603,8 +627,8 @@
             return with_clock(409, {{"reason", "fence"}});
         m_fence = number("fence");
         if (message.path == "/hold")
-            return hold(body.contains("deadline_ms") ? number("deadline_ms") : 0,
-                        static_cast<std::uint64_t>(number("ack_cursor")), number("wait_ms"), lock);
+            return hold(deadline, static_cast<std::uint64_t>(number("ack_cursor")),
+                        number("wait_ms"), lock);
         const run_key key{std::string(body.at("task").as_string()),
                           static_cast<std::uint64_t>(number("run"))};
         if (message.path == "/run-stop")
@@ -616,12 +640,12 @@
             return with_clock(200, {});
         if (past != m_past.end() && past->second >= key.second)
         {
-            extend(number("deadline_ms"));
+            extend(deadline);
             return with_clock(409, {{"reason", "old"}});
         }
-        if (number("deadline_ms") <= clock_ms())
+        if (deadline <= clock_ms())
             return with_clock(409, {{"reason", "late"}});
-        extend(number("deadline_ms"));
+        extend(deadline);
         const auto* spec = body.if_contains("spec");
         m_running[key] = {m_runs.start(m_options.id, key.first, key.second),
                           spec == nullptr ? 0 : std::atoll(spec->as_string().c_str()), clock_ms(),
