--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,5 +1,5 @@
-// TWICE: a client's channel that carries two pipelined jobs is reset. The host does not notice,
-// runs the first job on, and the client's second attempt runs it at the same time.
+// RECOVER: the records of replaced hosts stay in the store. After all hosts were killed at once,
+// they do not find each other among them and take the executors from each other.
 
 #include "standin.hpp"
 
@@ -8,89 +8,37 @@
 namespace
 {
 
-constexpr std::int64_t retry_ms = 1300;
-constexpr std::int64_t work_ms = 4000;
-constexpr int executor_count = 26; // more than one host takes
+constexpr std::int64_t recovery_ms = 12000;
+constexpr std::int64_t down_ms = 1100;
+constexpr std::int64_t job_interval = 250;
+constexpr int live_hosts = 8;
+constexpr int replaced_hosts = 1050;
+constexpr int at_once = 12; // replaced machines that run at the same time
 constexpr const char* service = "huvo11a";
 constexpr const char* zone = "iloilo-city";
 constexpr const char* host = "nony24.example";
 
-// The platform's balancer for one channel: forwards the bytes both ways until it is told to reset
-// the channel.
-class forwarder
+struct sent_job
 {
-public:
-    forwarder(const std::string& ip, std::string to) : m_to(std::move(to))
-    {
-        m_socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        auto address = to_address(ip + ":0");
-        socklen_t size = sizeof address;
-        if (::bind(m_socket, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
-            ::listen(m_socket, 16) != 0)
-            throw std::runtime_error("cannot listen on " + ip);
-        ::getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &size);
-        m_address = ip + ":" + std::to_string(ntohs(address.sin_port));
-        std::thread([this] { forward(); }).detach();
-    }
-    const std::string& address() const { return m_address; }
-    void reset() { m_reset = true; }
-
-private:
-    void forward()
-    {
-        const int client = ::accept4(m_socket, nullptr, nullptr, SOCK_CLOEXEC);
-        const int server = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        const auto to = to_address(m_to);
-        bool open = ::connect(server, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0;
-        while (open && !m_reset)
-        {
-            pollfd items[2] = {{client, POLLIN, 0}, {server, POLLIN, 0}};
-            if (::poll(items, 2, 10) <= 0)
-                continue;
-            for (int i = 0; i < 2 && open; ++i)
-            {
-                if (items[i].revents == 0)
-                    continue;
-                char bytes[65536];
-                const auto got = ::recv(items[i].fd, bytes, sizeof bytes, 0);
-                open = got > 0 && write_all(items[1 - i].fd,
-                                            std::string(bytes, static_cast<std::size_t>(got)));
-            }
-        }
-        const linger at_once{1, 0};
-        for (const int channel : {client, server})
-        {
-            if (m_reset)
-                ::setsockopt(channel, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
-            ::close(channel);
-        }
-    }
-
-    std::string m_to;
-    int m_socket = -1;
-    std::string m_address;
-    std::atomic<bool> m_reset{false};
+    std::int64_t sent = 0;
+    int status = 0;
 };
 
-std::string post(const std::string& id, const std::string& body)
-{
-    return "POST /lohu930/" + id + " HTTP/1.1\r\nHost: " + host +
-           "\r\nContent-Type: application/json\r\nTimeout-Ms: 8000\r\nContent-Length: " +
-           std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 int play(const std::string& program, const std::string& record_path)
 {
     auto& log = keep<record>(record_path);
     auto& runs = keep<run_list>(log);
     temporary_folder folder;
-    const std::vector<std::string> ips{"127.0.0.2", "127.0.0.3"};
+    std::vector<std::string> ips;
+    for (int i = 0; i < live_hosts; ++i)
+        ips.push_back("127.0.0." + std::to_string(11 + i));
     const auto at = choose_ports(ips);
     auto& platform = keep<store>("127.0.0.9");
     json::array routes{route("r-1", "/lohu930/", service)};
     platform.put("keyed.op", "config", config(7, routes, service));
+
     std::vector<executor*> executors;
-    for (int i = 0; i < executor_count; ++i)
+    for (int i = 0; i < 16; ++i)
         executors.push_back(&keep<executor>(
             "127.0.0.9", executor_options{"i-7f3a91" + std::to_string(10 + i), service, zone},
             runs));
@@ -98,89 +46,113 @@
     std::vector<std::unique_ptr<edge>> edges;
     for (std::size_t i = 0; i < ips.size(); ++i)
     {
-        edges.push_back(std::make_unique<edge>(program, folder.path(),
-                                               "edge-" + std::to_string(i + 1), zone, ips[i], at,
-                                               ips, platform.address()));
+        edges.push_back(std::make_unique<edge>(
+            program, folder.path(), "edge-" + std::to_string(9001 + i), zone, ips[i], at,
+            std::vector<std::string>{ips[0], ips[1], ips[2]}, platform.address()));
         edges.back()->start(true);
     }
     for (auto& entry : edges)
         if (!entry->wait_until_ready(15000))
             return exit_could_not_run;
-    sleep_ms(4000);
-    for (auto& entry : edges)
-        log.line("state of " + entry->name() + ": " + entry->state());
+    sleep_ms(3000);
 
-    const auto long_job = job_id(1);
-    const auto short_job = job_id(2);
-    const auto long_body = job(work_ms, 2, 6800, work_ms);
-    const auto short_body = job(60, 2, 6800, 60);
-    auto& balancer = keep<forwarder>("127.0.0.9", edges[0]->front());
-    const int channel = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const auto to = to_address(balancer.address());
-    if (::connect(channel, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0)
-        return exit_could_not_run;
-    const auto begin = now_ms();
-    log.line("the client sends jobs " + long_job + " and " + short_job + " on one channel to " +
-             edges[0]->name());
-    write_all(channel, post(long_job, long_body));
-    sleep_until_ms(begin + 200);
-    write_all(channel, post(short_job, short_body));
     if (with_trouble())
     {
-        sleep_until_ms(begin + 1000);
-        balancer.reset();
-        log.line("the channel is reset");
+        // Machines come and are removed for good, one after the other on `at_once` places.
+        std::atomic<int> next{0};
+        std::vector<std::thread> places;
+        for (int place = 0; place < at_once; ++place)
+            places.emplace_back(
+                [&]
+                {
+                    for (int i = next++; i < replaced_hosts; i = next++)
+                    {
+                        edge machine(
+                            program, folder.path(), "edge-" + std::to_string(1001 + i), zone,
+                            "127.1." + std::to_string(i / 200) + "." + std::to_string(1 + i % 200),
+                            at, {ips[0], ips[1], ips[2]}, platform.address());
+                        machine.start(false);
+                        for (const auto until = now_ms() + 5000;
+                             now_ms() < until &&
+                             !platform.has("keyed.egret-hosts", machine.name());)
+                            sleep_ms(5);
+                        machine.kill(SIGKILL);
+                    }
+                });
+        for (auto& place : places)
+            place.join();
+        log.line(std::to_string(replaced_hosts) + " machines have come and been removed");
     }
-    std::string buffer;
-    int answers = 0;
-    for (std::size_t head = 0, size = 0;
-         answers < 2 && read_message(channel, buffer, head, size, 8000); ++answers)
+    sleep_ms(4000);
+    std::mutex mutex;
+    std::vector<sent_job> jobs;
+    std::vector<std::thread> calls;
+    const auto send_until = [&](std::int64_t until)
     {
-        log.line("answer on the channel: " + buffer.substr(0, 12) + " " +
-                 buffer.substr(head, size));
-        buffer.erase(0, head + size);
-    }
-    ::close(channel);
-    if (with_trouble())
+        for (; now_ms() < until; sleep_ms(job_interval))
+            calls.emplace_back(
+                [&, number = static_cast<int>(calls.size()) + 2]
+                {
+                    const auto sent = now_ms();
+                    const auto& to = edges[static_cast<std::size_t>(number) % edges.size()];
+                    const auto answer =
+                        call(to->front(), "POST", "/lohu930/" + job_id(number), host,
+                             job(900, 4, 6800, 900), 1500, "Timeout-Ms: 1500\r\n");
+                    const std::lock_guard lock(mutex);
+                    jobs.push_back({sent, answer.status});
+                    log.line("job " + job_id(number) + " of 4 tasks, sent to " + to->name() +
+                             " at " + std::to_string(sent) +
+                             ", is answered: " + std::to_string(answer.status) + " " + answer.body);
+                });
+    };
+    const auto begin = now_ms();
+    send_until(begin + 8000);
+    const auto fault = now_ms();
+    for (auto& entry : edges)
+        entry->kill(SIGKILL);
+    log.line("all machines are killed");
+    send_until(fault + down_ms);
+    for (auto& entry : edges)
+        entry->start(false);
+    log.line("all machines start");
+    const auto back = now_ms();
+    send_until(back + recovery_ms + 15000);
+    for (auto& thread : calls)
+        thread.join();
+
+    const auto served_share = [&](std::int64_t from, std::int64_t to, const char* what)
     {
-        log.line("the channel is broken; the client sends both jobs again " +
-                 std::to_string(retry_ms) + " ms later, to " + edges[1]->name());
-        sleep_ms(retry_ms);
-        std::thread second(
-            [&]
+        int all = 0;
+        int served = 0;
+        for (const auto& item : jobs)
+            if (item.sent >= from && item.sent < to)
             {
-                const auto answer = call(edges[1]->front(), "POST", "/lohu930/" + short_job, host,
-                                         short_body, 8000, "Timeout-Ms: 8000\r\n");
-                log.line("job " + short_job + " is answered: " + std::to_string(answer.status));
-            });
-        const auto answer = call(edges[1]->front(), "POST", "/lohu930/" + long_job, host, long_body,
-                                 8000, "Timeout-Ms: 8000\r\n");
-        log.line("job " + long_job + " is answered: " + std::to_string(answer.status) + " " +
-                 answer.body);
-        second.join();
+                ++all;
+                served += item.status == 200 ? 1 : 0;
+            }
+        log.line(std::string(what) + ": " + std::to_string(served) + " of " + std::to_string(all) +
+                 " jobs served");
+        return all == 0 ? 0.0 : static_cast<double>(served) / all;
+    };
+    const auto before = served_share(begin, fault, "before the fault");
+    const auto after =
+        served_share(back + recovery_ms, now_ms(), "later than recovery_s after the fault");
+    int ready = 0;
+    for (auto& entry : edges)
+    {
+        ready += entry->ready() ? 1 : 0;
+        log.line("state of " + entry->name() + ": " + entry->state());
+        if (const auto refused = entry->log_lines("event=peer_not_connected"); !refused.empty())
+            log.line("log of " + entry->name() + ", first of " + std::to_string(refused.size()) +
+                     " such lines: " + refused.front());
+        const auto lines = entry->log_lines("event=job_ended");
+        for (std::size_t i = lines.size() < 2 ? 0 : lines.size() - 2; i < lines.size(); ++i)
+            log.line("log of " + entry->name() + ": " + lines[i]);
     }
-    sleep_ms(500);
-    for (const auto& line : edges[0]->log_lines("caller_gone"))
-        log.line("log of " + edges[0]->name() + ": " + line);
-
-    const auto all = runs.all();
-    int broken = 0;
-    for (std::size_t i = 0; i < all.size(); ++i)
-        for (std::size_t j = i + 1; j < all.size(); ++j)
-        {
-            const auto& a = all[i];
-            const auto& b = all[j];
-            if (a.task != b.task || (a.ended >= 0 && a.ended <= b.started))
-                continue;
-            ++broken;
-            log.line("TWICE broken: task " + a.task + " ran on " + a.executor + " from " +
-                     std::to_string(a.started) + " to " + std::to_string(a.ended) + " and on " +
-                     b.executor + " from " + std::to_string(b.started) + " to " +
-                     std::to_string(b.ended));
-        }
-    if (all.empty() || (!with_trouble() && answers != 2))
+    constexpr double quarter = 0.25;
+    if (before < quarter || ready == 0)
         return exit_could_not_run;
-    return broken > 0 ? exit_broken : exit_held;
+    return after < quarter ? exit_broken : exit_held;
 }
 
 } // namespace
