Pools sized by what a host can carry

Cause: the assignment orders hosts by a hash and gives each up to 24 workers.

Change: host_capacity computes from the limits in the settings how many workers a host can serve, and lowers the number for 10 s when the host is overloaded. Heartbeats announce it. Where a host of a data centre announces it, worker_assignment derives quotas: the strongest hosts that can serve 1.25 times the workers share them, and the others get none. Without the settings the maximum of 24 and the former rules apply.

--- a/src/io/edge_metrics.cpp
+++ b/src/io/edge_metrics.cpp
@@ -145,6 +145,9 @@
     gauge_row{"egretledge_pool_jobs", "Jobs of the own pool",
               [](const pool::pool_host& host, instant)
               { return static_cast<double>(host.workers().open_jobs()); }},
+    gauge_row{"egretledge_pool_max_workers", "Workers that this host can serve",
+              [](const pool::pool_host& host, instant)
+              { return static_cast<double>(host.max_workers()); }},
     gauge_row{"egretledge_pool_workers", "Workers held",
               [](const pool::pool_host& host, instant)
               { return static_cast<double>(host.workers().held().size()); }},
--- a/src/io/edge_settings.cpp
+++ b/src/io/edge_settings.cpp
@@ -9,6 +9,11 @@
 namespace
 {
 
+// Larger limits than any host has are taken for mistakes, for example of the unit.
+constexpr double max_processor = 1024;
+constexpr double max_memory_mb = 16.0 * 1024 * 1024;
+constexpr double max_link_mbps = 1e6;
+
 // Reads settings and collects the faults, so that all are reported together.
 class reader
 {
@@ -56,6 +61,32 @@
             fault(name, "is not true or false");
     }
 
+    // Reads a limit of the host. One that is missing or not usable is no fault of the settings: the
+    // host then serves with the default.
+    void limit(const char* name, double max, double& value, edge_settings& settings)
+    {
+        const auto node = m_root[name];
+        double parsed_value = 0;
+        const char* reason = nullptr;
+        if (!node)
+            reason = "absent";
+        else if (node.IsNull() || (node.IsScalar() && node.Scalar().empty()))
+            reason = "empty";
+        else if (!YAML::convert<double>::decode(node, parsed_value))
+            reason = "not_a_number";
+        else if (!(parsed_value > 0 && parsed_value <= max))
+            reason = "out_of_range";
+        if (reason == nullptr)
+        {
+            value = parsed_value;
+            return;
+        }
+        settings.defaulted_limits +=
+            (settings.defaulted_limits.empty() ? "" : ",") + std::string(name) + ":" + reason;
+        settings.faulty_limits =
+            settings.faulty_limits || (node && !node.IsNull() && reason != std::string("empty"));
+    }
+
     void fault(const std::string& name, const std::string& problem)
     {
         m_faults += "'" + name + "' " + problem + "\n";
@@ -103,6 +134,10 @@
     double stop_s = static_cast<double>(settings.stop_timeout.count()) / 1000.0;
     read.number<double>("stop_limit_s", stop_s, 0.1, 3600);
     settings.stop_timeout = milliseconds{static_cast<std::int64_t>(stop_s * 1000)};
+    read.limit("processor_share", max_processor, settings.processor_share, settings);
+    read.limit("processor_speed", max_processor, settings.processor_speed, settings);
+    read.limit("memory_mb", max_memory_mb, settings.memory_mb, settings);
+    read.limit("link_mbps", max_link_mbps, settings.link_mbps, settings);
     if (const auto seeds = root["seeds"]; seeds && seeds.IsSequence())
         for (const auto& seed : seeds)
             if (seed.IsScalar() && parse_ip_port(seed.Scalar()))
--- a/src/io/edge_settings.hpp
+++ b/src/io/edge_settings.hpp
@@ -30,6 +30,14 @@
     // No host of the deployment ran before this process. Until a process that may have had
     // predecessors has run for some seconds, it refuses no job as "not run".
     bool first_start = false;
+    // Limits of this host, from which it computes how many workers it can serve. 0: not known.
+    double processor_share = 0; // share of a core
+    double processor_speed = 0; // how many times as fast as one core; not known: 1
+    double memory_mb = 0;
+    double link_mbps = 0;
+    // The limits that are not known, each as `name:reason`, separated by commas.
+    std::string defaulted_limits;
+    bool faulty_limits = false;     // a limit is present, but not a number within its range
     std::string log_level = "info"; // debug, info, warning or error
     // Maximum log lines per second; lines above it are dropped and counted.
     std::uint32_t log_lines_per_s = 200;
--- a/src/pool/membership.cpp
+++ b/src/pool/membership.cpp
@@ -110,6 +110,7 @@
     heartbeat.set_address(m_settings.address);
     heartbeat.set_leaving(own_state.leaving);
     heartbeat.set_overloaded(own_state.overloaded);
+    heartbeat.set_max_workers(own_state.max_workers);
     heartbeat.set_settled(settled(now));
     const bool lists_hosts = now - to.alive_since < m_settings.min_settle_time * 2;
     ++m_totals.heartbeats;
@@ -203,6 +204,7 @@
     host.data_centre = heartbeat.data_centre();
     host.leaving = heartbeat.leaving();
     host.overloaded = heartbeat.overloaded();
+    host.max_workers = heartbeat.max_workers();
     host.config_version = heartbeat.config_version();
     host.load = {static_cast<std::int64_t>(heartbeat.free_cpu()),
                  static_cast<std::int64_t>(heartbeat.total_cpu()),
--- a/src/pool/membership.hpp
+++ b/src/pool/membership.hpp
@@ -89,7 +89,8 @@
     std::set<std::string> unread; // those of `held` whose lists have not been read yet
     std::uint32_t held_count = 0;
     bool settled = false;
-    bool overloaded = false; // short of processor time; takes no more workers
+    bool overloaded = false;       // short of processor time; takes no more workers
+    std::uint32_t max_workers = 0; // how many workers it can serve; 0: not announced
 
     microseconds introduced_at{0};
     microseconds last_heard{-1}; // arrival of the latest heartbeat; -1: none
@@ -124,6 +125,7 @@
         std::vector<std::string> unread;
         const started_jobs* started = nullptr; // null: none are announced
         const crash_record* crashes = nullptr; // null: none are announced
+        std::uint32_t max_workers = 0;         // 0: not announced
     };
     // Sends the heartbeats that are due. `announce` is called only if there are any.
     void tick(microseconds now, const std::function<announcement()>& announce, action_list& out);
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -24,7 +24,8 @@
               return own_settings;
           }(),
           m_membership, m_pool, m_started),
-      m_config_fetcher(m_settings.config), m_delay(m_settings.delay)
+      m_config_fetcher(m_settings.config), m_delay(m_settings.delay),
+      m_capacity(m_settings.capacity, m_settings.assignment.max_workers)
 {
     m_pool.set_visibility(
         [this](const caller_ref& caller)
@@ -112,6 +113,7 @@
                                                        ? m_settings.started.retention_period
                                                        : milliseconds{0}));
     m_last_tick = now.steady;
+    update_capacity(now, out);
     if (std::exchange(m_announced_crashes, m_pool.crashes().own_changes()) !=
         m_pool.crashes().own_changes())
         m_membership.expedite_heartbeats();
@@ -129,7 +131,8 @@
                                             m_pool.held(),
                                             m_pool.unread(),
                                             &m_started,
-                                            &m_pool.crashes()};
+                                            &m_pool.crashes(),
+                                            m_capacity.max_workers()};
         },
         out);
     cancel_silent_callers(now, out);
@@ -217,6 +220,27 @@
     return false;
 }
 
+std::uint32_t pool_host::max_workers() const
+{
+    return m_capacity.max_workers() > 0 ? m_capacity.max_workers()
+                                        : m_settings.assignment.max_workers;
+}
+
+void pool_host::update_capacity(instant now, action_list& out)
+{
+    if (!m_capacity.update(now.steady, m_delay.overloaded(), m_pool.held_count()))
+        return;
+    const auto figure = [](std::uint32_t workers)
+    { return workers == capacity_figures::no_limit ? "none" : std::to_string(workers); };
+    const auto& figures = m_capacity.figures();
+    out.push_back(actions::log_event{
+        false, "event=capacity max_workers=" + std::to_string(m_capacity.max_workers()) +
+                   " by_processor=" + figure(figures.by_processor) + " by_memory=" +
+                   figure(figures.by_memory) + " by_link=" + figure(figures.by_link) +
+                   " held=" + std::to_string(m_pool.held_count()) +
+                   " overloaded=" + (m_delay.overloaded() ? "true" : "false")});
+}
+
 void pool_host::acquire_and_release(instant now, action_list& out)
 {
     for (const auto& id : m_pool.take_losses())
@@ -228,14 +252,16 @@
     const auto& own_settings = m_settings.membership;
     hosts.push_back({own_settings.self.name, own_settings.data_centre,
                      static_cast<std::uint32_t>(m_pool.held().size()), m_leaving,
-                     m_membership.settled(now.steady), false, m_delay.overloaded()});
+                     m_membership.settled(now.steady), false, m_delay.overloaded(),
+                     m_capacity.max_workers()});
     std::set<std::string> held_elsewhere;
     for (const auto& [name, host] : m_membership.all())
     {
         if (!m_membership.may_be_alive(name, now.steady))
             continue;
         hosts.push_back({name, host.data_centre, host.held_count, host.leaving, host.settled,
-                         m_membership.settling(host, now.steady), host.overloaded});
+                         m_membership.settling(host, now.steady), host.overloaded,
+                         host.max_workers});
         held_elsewhere.insert(host.held.begin(), host.held.end());
     }
     for (const auto& id : held_elsewhere)
@@ -243,6 +269,7 @@
     const auto held = m_pool.held();
     const auto plan = choose_workers(m_settings.assignment, own_settings.self.name, m_registry,
                                      hosts, held_elsewhere, {held.begin(), held.end()});
+    m_quota = plan.quota;
     const bool partitioned = m_membership.partitioned(now.steady);
     for (const auto& id : plan.acquire)
         if (may_acquire(m_registry.at(id), partitioned, now, out))
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -13,6 +13,7 @@
 
 #include "pool/call_router.hpp"
 #include "pool/config_fetcher.hpp"
+#include "pool/host_capacity.hpp"
 #include "pool/processing_delay.hpp"
 #include "pool/routes.hpp"
 #include "pool/unread_workers.hpp"
@@ -27,6 +28,7 @@
     worker_pool_settings workers;
     call_router_settings calls; // data_centre is set from `membership`
     worker_assignment_settings assignment;
+    host_capacity_settings capacity;
     started_jobs_settings started;
     config_fetcher_settings config;
     processing_delay_settings delay;
@@ -129,11 +131,16 @@
     const membership& hosts() const { return m_membership; }
     const started_jobs& started() const { return m_started; }
     const processing_delay& delay() const { return m_delay; }
+    // Number of workers that this host can serve; the default maximum if no limit is known.
+    std::uint32_t max_workers() const;
+    // Number of workers that the last assignment allowed this host; see worker_assignment.
+    std::uint32_t quota() const { return m_quota; }
 
 private:
     // Runs the timers if the last tick is more than `max_tick_delay` ago.
     void run_overdue_timers(instant now, action_list& out);
     void acquire_and_release(instant now, action_list& out);
+    void update_capacity(instant now, action_list& out);
     // Hands over the group of workers that is being handed over, or begins with `planned`.
     void hand_over(instant now, std::vector<std::string> planned, action_list& out);
     // Returns true if workers of the job's service are listed and none of them is large enough for
@@ -180,6 +187,8 @@
     unread_workers m_unread;
     config_fetcher m_config_fetcher;
     processing_delay m_delay;
+    host_capacity m_capacity;
+    std::uint32_t m_quota = 0;
     std::vector<std::string> m_handover; // the workers that are being handed over
     microseconds m_handover_until{0};
     microseconds m_next_handover{0};
--- a/src/pool/worker_assignment.hpp
+++ b/src/pool/worker_assignment.hpp
@@ -13,12 +13,21 @@
 
 struct worker_assignment_settings
 {
-    // Maximum number of workers that one host holds while another host has capacity left. More
-    // workers improve the packing of tasks; each costs processor time.
+    // Maximum number of workers that a host which announces no number of its own holds while
+    // another host has capacity left. More workers improve the packing of tasks; each costs
+    // processor time.
     std::uint32_t max_workers = 24;
     // Maximum number of workers that a host with too many hands over at a time: a quarter of a
     // usual pool, since no task is placed on a worker that is being handed over.
     std::uint32_t max_handover = 6;
+    // The hosts that share a data centre's workers can serve this many times its workers, so that
+    // one of them may be lost or reduce its number without all quotas moving to other hosts.
+    double capacity_surplus = 1.25;
+    // A host hands workers over only if it exceeds its quota by more than a quarter of the quota
+    // and two workers: quotas change whenever a host or worker comes or goes, and each move costs
+    // the worker's callers a heartbeat's delay.
+    std::uint32_t tolerated_fraction = 4;
+    std::uint32_t tolerated_workers = 2;
 };
 
 // A host to which workers may be assigned.
@@ -33,6 +42,8 @@
     bool settling = false;
     // Short of processor time: counts as full, and hands workers over to hosts that are not.
     bool overloaded = false;
+    // Number of workers that the host can serve; 0: not announced.
+    std::uint32_t max_workers = 0;
 };
 
 // Changes to the set of workers held by this host, as worker ids.
@@ -45,6 +56,9 @@
     // Held here beyond what this host can serve while another host of the data centre has room: no
     // more tasks are to be placed on these, and they are to be released once they are idle.
     std::vector<std::string> hand_over;
+    // Number of workers that this host should hold, or its maximum if its data centre has no
+    // quotas.
+    std::uint32_t quota = 0;
 };
 
 // `self` is the name of this host; `hosts` are the live hosts including this one. `held_elsewhere`
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -103,6 +103,7 @@
     // Returns the worker, or null if it is not held here.
     const held_worker* find(const std::string& worker) const;
     std::vector<std::string> held() const;
+    std::size_t held_count() const { return m_workers.size(); }
     std::vector<std::string> idle() const;
     // Returns the held workers that have not accepted a hold yet: their lists of runs have not been
     // read.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -604,6 +604,10 @@
         {"{{bounds.grace_s}}", "6"},
         {"{{bounds.config_ms}}", "2000"},
         {"{{bootstrap}}", "true"},
+        {"{{limits.cpu_share}}", "0.12"},
+        {"{{limits.cores}}", "1.5"},
+        {"{{limits.memory_mb}}", "160"},
+        {"{{limits.link_mbps}}", ""},
         {"{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", "\"1.2.3.6:3\""}};
     for (const auto& [placeholder, value] : values)
         for (auto at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder))
@@ -615,6 +619,55 @@
     BOOST_TEST(settings->stop_timeout.count() == 6000);
     BOOST_TEST(settings->config_bound.count() == 2000);
     BOOST_TEST(settings->first_start);
+    BOOST_TEST(settings->processor_share == 0.12);
+    BOOST_TEST(settings->processor_speed == 1.5);
+    BOOST_TEST(settings->memory_mb == 160);
+    BOOST_TEST(settings->link_mbps == 0);
+    BOOST_TEST(settings->defaulted_limits == "link_mbps:empty");
+    BOOST_TEST(!settings->faulty_limits);
+}
+
+// Guards against a host that does not start, or serves with a wrong number of workers, since the
+// platform states one of its limits badly or not at all.
+BOOST_AUTO_TEST_CASE(a_limit_that_is_missing_or_not_usable_falls_back_to_its_default)
+{
+    const std::string required = "name: a\ndata_centre: dc1\ncallers: 1.2.3.4:1\n"
+                                 "readiness: 1.2.3.4:2\npeers: tcp://1.2.3.4:3\nstore: 1.2.3.4:4\n";
+    struct row
+    {
+        const char* text;
+        const char* defaulted;
+        bool faulty;
+    };
+    const std::string rest = ",processor_speed:absent,memory_mb:absent,link_mbps:absent";
+    for (const auto& [text, reason, faulty] :
+         {row{"", "absent", false}, row{"processor_share:", "empty", false},
+          row{"processor_share: \"\"", "empty", false}, row{"processor_share: ~", "empty", false},
+          row{"processor_share: 0", "out_of_range", true},
+          row{"processor_share: -0.5", "out_of_range", true},
+          row{"processor_share: 1e9", "out_of_range", true},
+          row{"processor_share: .nan", "out_of_range", true},
+          row{"processor_share: .inf", "out_of_range", true},
+          row{"processor_share: half", "not_a_number", true},
+          row{"processor_share: [0.5]", "not_a_number", true}})
+    {
+        BOOST_TEST_CONTEXT("setting '" << text << "'")
+        {
+            const auto settings = parse_edge_settings(required + text + "\n");
+            BOOST_REQUIRE(settings);
+            BOOST_TEST(settings->processor_share == 0);
+            BOOST_TEST(settings->defaulted_limits ==
+                       std::string("processor_share:") + reason + rest);
+            BOOST_TEST(settings->faulty_limits == faulty);
+        }
+    }
+    const auto settings = parse_edge_settings(
+        required + "processor_share: 0.5\nprocessor_speed: 1\nmemory_mb: 512\nlink_mbps: 200\n");
+    BOOST_REQUIRE(settings);
+    BOOST_TEST(settings->defaulted_limits.empty());
+    BOOST_TEST(settings->processor_share == 0.5);
+    BOOST_TEST(settings->memory_mb == 512);
+    BOOST_TEST(settings->link_mbps == 200);
 }
 
 BOOST_AUTO_TEST_CASE(all_faults_in_settings_are_reported_together)
