--- a/harness/pool_simulation.cpp
+++ b/harness/pool_simulation.cpp
@@ -177,6 +177,8 @@
     settings.membership.data_centre = state.data_centre;
     settings.membership.address = state.name;
     settings.first_start = state.incarnation == 0;
+    if (!m_settings.processor.first_shares.empty())
+        settings.capacity.limits.processor_share = processor_share(index);
     state.logic = std::make_unique<pool_host>(settings);
     print("start " + state.name);
     const auto incarnation = ++state.incarnation;
@@ -229,7 +231,14 @@
         return;
     auto& busy_until = m_hosts[index]->busy_until;
     busy_until = std::max(busy_until, m_now) +
-                 std::chrono::duration_cast<microseconds>(work / m_settings.processor.share);
+                 std::chrono::duration_cast<microseconds>(work / processor_share(index));
+}
+
+double pool_simulation::processor_share(std::uint32_t index) const
+{
+    const auto& shares = m_settings.processor.first_shares;
+    const auto position = index % m_settings.hosts_per_centre;
+    return position < shares.size() ? shares[position] : m_settings.processor.share;
 }
 
 void pool_simulation::add_work(std::uint32_t index, microseconds work,
--- a/harness/pool_simulation.hpp
+++ b/harness/pool_simulation.hpp
@@ -29,6 +29,9 @@
 struct processor_settings
 {
     double share = 0; // of a core; 0: work takes no time
+    // Shares of the first hosts of each data centre; the others have `share`. If there are any, all
+    // hosts know their share and announce how many workers they can serve.
+    std::vector<double> first_shares{};
     microseconds receive_message{20};
     microseconds handle_message{20};
     microseconds send_message{25};
@@ -255,6 +258,7 @@
     void use_processor(std::uint32_t host, microseconds work);
     // Handles the messages that wait in the host's inbox, in batches.
     void deliver_messages(std::uint32_t host);
+    double processor_share(std::uint32_t host) const;
     bool limits_processor() const { return m_settings.processor.share > 0; }
     // Calls the host after the delay `late`, unless its incarnation has ended by then.
     void call_host_after(std::uint32_t host, microseconds late, const host_callback& callback);
--- a/src/pool/host_capacity.cpp
+++ b/src/pool/host_capacity.cpp
@@ -59,12 +59,11 @@
     const auto passed = first ? microseconds{0} : now - m_updated_at;
     m_updated_at = now;
     const auto computed = static_cast<double>(m_figures.max_workers);
-    if (overloaded && now >= m_lowered_until)
+    // A host without workers is overloaded by its callers, which says nothing about workers.
+    if (overloaded && held > 0 && now >= m_lowered_until)
     {
-        // A host without workers is overloaded by its callers, which says nothing about workers.
-        if (held > 0)
-            m_current = std::clamp(m_settings.lowered_part * static_cast<double>(held), 1.0,
-                                   std::max(1.0, m_current));
+        m_current = std::clamp(m_settings.lowered_part * static_cast<double>(held), 1.0,
+                               std::max(1.0, m_current));
         m_lowered_until = now + m_settings.lowered_period;
     }
     else if (!overloaded && now >= m_lowered_until)
--- a/tests/pool_restart_test.cpp
+++ b/tests/pool_restart_test.cpp
@@ -114,6 +114,79 @@
     BOOST_TEST(largest_pool(simulation) <= worker_assignment_settings{}.max_workers);
 }
 
+// The same load on unequal hosts: two of 0.5 cores in each data centre, and six of 0.05, which can
+// serve one worker each. Guards against weak hosts that hold pools beside strong ones, before or
+// after all hosts lost power or those of one data centre were lost.
+BOOST_AUTO_TEST_CASE(strong_hosts_hold_the_pools_before_and_after_all_lost_power)
+{
+    auto settings = small_processor_deployment(0.05);
+    settings.processor.first_shares = {0.5, 0.5};
+    pool_simulation simulation(settings);
+    std::mt19937_64 random(11);
+    schedule_load(simulation, 75, random);
+    const auto held_by_weak_hosts = [&]
+    {
+        std::size_t held = 0;
+        for (std::uint32_t host = 0; host < simulation.host_count(); ++host)
+            if (host % settings.hosts_per_centre >= settings.processor.first_shares.size() &&
+                simulation.host(host) != nullptr)
+                held += simulation.host(host)->workers().held().size();
+        return held;
+    };
+    simulation.at(fault_time, [&] { simulation.restart_all_hosts(downtime); });
+    simulation.run_until(fault_time - 1s);
+    BOOST_TEST(held_by_weak_hosts() == 0U);
+    simulation.run_until(fault_time + downtime + recovery_limit);
+    BOOST_TEST(held_by_weak_hosts() == 0U);
+    simulation.run_until(load_end + 2s);
+    BOOST_TEST(served_share(simulation, load_begin + 1500ms, fault_time - 2s) >= 0.95);
+    BOOST_TEST(served_share(simulation, fault_time + downtime + recovery_limit, load_end) >= 0.95);
+    for (const auto& violation : simulation.violations())
+        BOOST_ERROR(violation);
+}
+
+// Guards against workers that stay without a holder, or with a weak one, after the strong hosts of
+// a data centre were lost at once and have returned.
+BOOST_AUTO_TEST_CASE(weak_hosts_hold_the_pools_only_while_the_strong_ones_are_lost)
+{
+    auto settings = small_processor_deployment(0.15);
+    settings.processor.first_shares = {0.5, 0.5};
+    pool_simulation simulation(settings);
+    std::mt19937_64 random(11);
+    schedule_load(simulation, 50, random);
+    const auto held_by = [&](bool strong)
+    {
+        std::size_t held = 0;
+        for (std::uint32_t host = 0; host < settings.hosts_per_centre; ++host)
+            if ((host < settings.processor.first_shares.size()) == strong &&
+                simulation.host(host) != nullptr)
+                held += simulation.host(host)->workers().held().size();
+        return held;
+    };
+    simulation.at(fault_time,
+                  [&]
+                  {
+                      simulation.kill_host(0);
+                      simulation.kill_host(1);
+                  });
+    simulation.at(fault_time + 5s,
+                  [&]
+                  {
+                      simulation.start_host(0);
+                      simulation.start_host(1);
+                  });
+    simulation.run_until(fault_time - 1s);
+    BOOST_TEST(held_by(true) == settings.workers_per_centre);
+    simulation.run_until(fault_time + 3s);
+    BOOST_TEST(held_by(false) == settings.workers_per_centre);
+    simulation.run_until(fault_time + 5s + recovery_limit);
+    BOOST_TEST(held_by(true) == settings.workers_per_centre);
+    simulation.run_until(load_end + 2s);
+    BOOST_TEST(served_share(simulation, fault_time + 5s + recovery_limit, load_end) >= 0.95);
+    for (const auto& violation : simulation.violations())
+        BOOST_ERROR(violation);
+}
+
 // All hosts end at once and return, beside other faults and crowds; before them the schedules that
 // once failed.
 BOOST_AUTO_TEST_CASE(random_restarts_of_all_hosts_keep_every_rule)
