Count slots by the asking job before a pool's first placement

A pool that had placed nothing counted each worker as one slot, since it took the size of a slot from the last placed task only.

The size now comes from the job that asks, and for the announced wait from the jobs that wait. The other uses of the last placed task are sound before a placement: free_cpu announces the whole free capacity, and the cost of a pool uses the demand of the job itself.

Two tests of pool_forecast_test.cpp failed before: 32 tasks of half a core on 4 idle workers of 16 cores were refused, and a wait of 2,400 ms was announced for 96 waiting tasks that fit at once. All three pass.

--- a/src/pool/admission.cpp
+++ b/src/pool/admission.cpp
@@ -27,6 +27,15 @@
 // Bounds the work of a forecast if tasks are declared tiny or a worker's capacity is wrong.
 constexpr std::int64_t max_free_slots_per_worker = 256;
 
+// Returns how many slots of this size a task with this demand takes.
+std::uint32_t slots_of(const resources& demand, std::int64_t slot_cpu)
+{
+    if (slot_cpu <= 0)
+        return 1;
+    return static_cast<std::uint32_t>(
+        std::max<std::int64_t>(1, (demand.cpu + slot_cpu / 2) / slot_cpu));
+}
+
 // Returns when each pending job is expected to end, in the given order, if only the jobs for which
 // `counts` returns true occupy slots.
 template <class Counts>
@@ -53,15 +62,29 @@
     return std::max(milliseconds{1}, m_run_times.expect(job.terms.route, step.estimate));
 }
 
-std::uint32_t worker_pool::slots_of(const resources& demand) const
+std::int64_t worker_pool::slot_cpu(const job_request* asking) const
 {
-    if (m_usual_demand.cpu <= 0)
-        return 1;
-    return static_cast<std::uint32_t>(
-        std::max<std::int64_t>(1, (demand.cpu + m_usual_demand.cpu / 2) / m_usual_demand.cpu));
+    if (m_totals.starts > 0)
+        return std::max<std::int64_t>(1, m_usual_demand.cpu);
+    std::int64_t sum = 0;
+    std::int64_t tasks = 0;
+    if (asking != nullptr)
+        for (const auto& step : asking->steps)
+        {
+            sum += step.demand.cpu * step.count;
+            tasks += step.count;
+        }
+    else
+        for (const auto& [id, job] : m_jobs)
+            for (const auto& task : job.tasks)
+            {
+                sum += job.request.steps[task.step].demand.cpu;
+                ++tasks;
+            }
+    return tasks == 0 ? 0 : std::max<std::int64_t>(1, sum / tasks);
 }
 
-slot_schedule worker_pool::worker_slots(microseconds now) const
+slot_schedule worker_pool::worker_slots(microseconds now, std::int64_t slot_cpu) const
 {
     slot_schedule schedule;
     for (const auto& [id, record] : m_workers)
@@ -82,11 +105,11 @@
                 left = std::max(view.sent + time - now,
                                 std::chrono::duration_cast<microseconds>(time * overdue_share));
             }
-            schedule.add_slots(now + left, slots_of(view.demand));
+            schedule.add_slots(now + left, slots_of(view.demand, slot_cpu));
         }
-        // Before the first placement the size of tasks is not known: a worker counts as one slot.
-        const auto usual = std::max<std::int64_t>(
-            1, m_usual_demand.cpu > 0 ? m_usual_demand.cpu : record.worker.entry().capacity.cpu);
+        // If no job is known, a worker counts as one slot: nothing waits for its room.
+        const auto usual =
+            std::max<std::int64_t>(1, slot_cpu > 0 ? slot_cpu : record.worker.entry().capacity.cpu);
         const auto free_slots = record.reserved_for ? 0 : record.worker.free().cpu / usual;
         schedule.add_slots(now, static_cast<std::uint32_t>(std::clamp<std::int64_t>(
                                     free_slots, 0, max_free_slots_per_worker)));
@@ -96,7 +119,8 @@
 
 milliseconds worker_pool::expected_wait(microseconds now) const
 {
-    auto schedule = worker_slots(now);
+    const auto size = slot_cpu(nullptr);
+    auto schedule = worker_slots(now, size);
     if (schedule.empty())
         return wait_without_workers;
     for (const auto& [id, job] : m_jobs)
@@ -104,7 +128,7 @@
             if (task.stage == task_stage::waiting)
             {
                 const auto& step = job.request.steps[task.step];
-                schedule.add(slots_of(step.demand), expected_run_time(job.request, step));
+                schedule.add(slots_of(step.demand, size), expected_run_time(job.request, step));
             }
     return m_processing_delay +
            std::chrono::duration_cast<milliseconds>(schedule.next_free() - now);
@@ -134,7 +158,8 @@
     return std::min(job.deadline, job.arrived + allowed);
 }
 
-pending_job worker_pool::pending_job_of(const open_job& job, microseconds now) const
+pending_job worker_pool::pending_job_of(const open_job& job, microseconds now,
+                                        std::int64_t slot_cpu) const
 {
     pending_job pending;
     pending.key = scheduling_key_of(job, now);
@@ -147,20 +172,21 @@
         if (task.stage != task_stage::waiting)
             continue;
         const auto& step = job.request.steps[task.step];
-        pending.tasks.emplace_back(slots_of(step.demand), expected_run_time(job.request, step));
+        pending.tasks.emplace_back(slots_of(step.demand, slot_cpu),
+                                   expected_run_time(job.request, step));
     }
     return pending;
 }
 
 // Returns the new job and all waiting jobs that are not late, in the order of placement.
-std::vector<pending_job> worker_pool::pending_jobs_with(const open_job& new_job,
-                                                        microseconds now) const
+std::vector<pending_job> worker_pool::pending_jobs_with(const open_job& new_job, microseconds now,
+                                                        std::int64_t slot_cpu) const
 {
-    std::vector<pending_job> order{pending_job_of(new_job, now)};
+    std::vector<pending_job> order{pending_job_of(new_job, now, slot_cpu)};
     order.front().is_new = true;
     for (const auto& [id, job] : m_jobs)
         if (job.waiting > 0 && (job.starts > 0 || !is_late(job, now)))
-            order.push_back(pending_job_of(job, now));
+            order.push_back(pending_job_of(job, now, slot_cpu));
     std::sort(order.begin(), order.end(),
               [](const pending_job& a, const pending_job& b) { return a.key < b.key; });
     return order;
@@ -171,12 +197,13 @@
 {
     if (!fits_somewhere(job.request))
         return refusal(answer_kind::no_worker_fits, now, "no worker of this pool can run it");
-    const auto schedule = worker_slots(now);
+    const auto size = slot_cpu(&job.request);
+    const auto schedule = worker_slots(now, size);
     if (schedule.empty())
         return now + wait_without_workers + job.critical_path <= job.deadline
                    ? std::nullopt
                    : std::optional{refusal(answer_kind::over_capacity, now, "no usable worker")};
-    auto order = pending_jobs_with(job, now);
+    auto order = pending_jobs_with(job, now, size);
     const auto new_index = static_cast<std::size_t>(std::find_if(order.begin(), order.end(),
                                                                  [](const pending_job& pending)
                                                                  { return pending.is_new; }) -
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -279,10 +279,12 @@
     bool end_former(const run_ref& run);
     // Returns the open job of the task and sets `state` to the task; null if there is none.
     open_job* find(const task_name& task, task_state*& state);
-    // Returns how many slots, each of the size of a usual task, a task with this demand takes.
-    std::uint32_t slots_of(const resources& demand) const;
+    // Returns the size of a slot in thousandths of a core: the demand of a usual task. Before the
+    // first placement it is the mean demand of the tasks of `asking`, or without such a job that of
+    // the waiting tasks; 0 if nothing waits either.
+    std::int64_t slot_cpu(const job_request* asking) const;
     // Returns the slots of the workers that accept tasks, and when each is expected to become free.
-    slot_schedule worker_slots(microseconds now) const;
+    slot_schedule worker_slots(microseconds now, std::int64_t slot_cpu) const;
     // Returns the time by which the job should have ended: `factor` times its objective after its
     // arrival, but no later than its deadline.
     static microseconds limit_of(const open_job& job, double factor);
@@ -292,8 +294,9 @@
         return job.objective - job.critical_path < now;
     }
     static scheduling_key scheduling_key_of(const open_job& job, microseconds now);
-    pending_job pending_job_of(const open_job& job, microseconds now) const;
-    std::vector<pending_job> pending_jobs_with(const open_job& new_job, microseconds now) const;
+    pending_job pending_job_of(const open_job& job, microseconds now, std::int64_t slot_cpu) const;
+    std::vector<pending_job> pending_jobs_with(const open_job& new_job, microseconds now,
+                                               std::int64_t slot_cpu) const;
     // Returns the refusal if the job is not admitted, else nothing.
     std::optional<call_answer> evaluate_admission(microseconds now, const open_job& job) const;
     // Makes a refusal whose Retry-After is the expected wait.
--- /dev/null
+++ b/tests/pool_forecast_test.cpp
@@ -0,0 +1,107 @@
+// The forecast behind admission and the announced wait: what a pool expects of its workers.
+
+#include "pool/worker_pool.hpp"
+#include "tests/pool_helpers.hpp"
+#include <boost/test/unit_test.hpp>
+
+using namespace egretledge;
+using namespace egretledge::pool;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// A pool of workers of 16 cores that accept every start. The test drives the clock.
+struct pool_fixture
+{
+    worker_pool pool{{}, 9};
+    action_list out;
+    std::uint64_t offers = 0;
+
+    explicit pool_fixture(int workers)
+    {
+        for (int i = 0; i < workers; ++i)
+        {
+            worker_entry entry;
+            entry.id = entry.address = "w" + std::to_string(100 + i);
+            entry.service = "desk";
+            entry.data_centre = "dc1";
+            entry.capacity = {16000, 32768, 0};
+            pool.acquire({at_ms(1), 1000ms}, entry, out);
+        }
+    }
+    static worker_reply accepted(microseconds now)
+    {
+        worker_reply reply;
+        reply.result = order_result::accepted;
+        reply.clock_ms = 5000 + now.count() / 1000;
+        reply.start_time_ms = 7;
+        return reply;
+    }
+    // Lets all workers accept this pool as their holder.
+    void answer_holds(microseconds now)
+    {
+        for (const auto& action : std::exchange(out, {}))
+            if (const auto* hold = std::get_if<actions::hold_worker>(&action))
+                pool.on_worker_reply(now, hold->request, accepted(now), out);
+    }
+    static job_request make_job(const std::string& id, std::uint32_t tasks, resources demand,
+                                milliseconds time)
+    {
+        job_request job;
+        job.id = id;
+        job.terms = {"r", "desk", 0, 3, 1.6, 60ms, 1500ms};
+        job.steps = {{tasks, demand, time, {}, {}, {}, 0}};
+        return job;
+    }
+    // Submits a job and returns its result if it was answered at once.
+    std::optional<pool_result> submit(microseconds now, const job_request& job)
+    {
+        pool.submit(now, job, {"h2", 1, ++offers}, 0ms, out);
+        auto results = pool.take_results();
+        return results.empty() ? std::nullopt : std::optional{results.front()};
+    }
+};
+
+// Half a core: 32 of them fit on a worker of 16 cores.
+constexpr resources small_task{500, 64, 0};
+
+} // namespace
+
+// Guards against a pool that serves nothing after a restart of all hosts: before its first
+// placement it counted each worker as one slot, so that 32 tasks of 100 ms on 4 idle workers seemed
+// to take 800 ms. The load: 5 jobs a second of 32 tasks of half a core and 100 ms.
+BOOST_AUTO_TEST_CASE(a_pool_that_has_placed_nothing_admits_a_wide_job)
+{
+    pool_fixture test(4);
+    test.answer_holds(at_ms(2));
+    BOOST_TEST(!test.submit(at_ms(3), test.make_job("wide", 32, small_task, 100ms)).has_value());
+    BOOST_TEST(test.pool.counts().starts == 32U);
+}
+
+// Guards against an admission that counts on more than the workers have: the same idle pool
+// needs 800 ms for 1024 such tasks, more than three times their objective of 220 ms.
+BOOST_AUTO_TEST_CASE(a_pool_that_has_placed_nothing_refuses_a_job_beyond_its_capacity)
+{
+    pool_fixture test(4);
+    test.answer_holds(at_ms(2));
+    const auto result = test.submit(at_ms(3), test.make_job("wide", 1024, small_task, 100ms));
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST((result->answer.kind == answer_kind::over_capacity));
+    BOOST_TEST(test.pool.counts().starts == 0U);
+}
+
+// Guards against callers' hosts that avoid a pool after a restart: until its first placement it
+// announced that each waiting task takes a whole worker. The jobs wait here since their caller's
+// host does not know yet that this host holds the workers.
+BOOST_AUTO_TEST_CASE(a_pool_that_has_placed_nothing_announces_the_wait_for_its_actual_room)
+{
+    pool_fixture test(4);
+    test.answer_holds(at_ms(2));
+    test.pool.set_visibility([](const caller_ref&) { return std::uint64_t{0}; });
+    for (int i = 0; i < 4; ++i)
+        test.submit(at_ms(3), test.make_job("wide" + std::to_string(i), 24, small_task, 100ms));
+    BOOST_TEST(test.pool.counts().starts == 0U);
+    BOOST_TEST(test.pool.open_jobs() == 4U);
+    BOOST_TEST(test.pool.expected_wait(at_ms(4)) == 0ms);
+}
