Evacuation of a data centre: no new tasks within a bound

An operator could not stop new tasks in a data centre without stopping its workers. Jobs are refused at once when no pool is left.

--- a/harness/pool_schedule.hpp
+++ b/harness/pool_schedule.hpp
@@ -43,6 +43,11 @@
 // violation is also that service is not back 15 s after the return.
 pool_schedule_result run_restart_pool_schedule(std::uint64_t seed, bool trace);
 
+// Runs a schedule of run_grown_pool_schedule() in which data centres are evacuated, one or more at
+// a time, while the store does not serve some hosts. The load and the other faults are those of the
+// grown schedule of this seed.
+pool_schedule_result run_evacuation_pool_schedule(std::uint64_t seed, bool trace);
+
 // Collects the result of a run that has reached its end.
 pool_schedule_result collect_result(pool_simulation& simulation);
 
--- a/harness/pool_schedule_grown.cpp
+++ b/harness/pool_schedule_grown.cpp
@@ -20,6 +20,7 @@
 constexpr std::int64_t max_caller_wait_ms = 8000;
 // The same for the jobs of run_deadly_pool_schedule(), whose draws do not change those of the rest.
 constexpr std::uint64_t deadly_seed_salt = 0xdeadULL;
+constexpr std::uint64_t evacuation_seed_salt = 0xe7acULL;
 // Makes the random draws of the schedule differ from those of the simulation with the same seed.
 constexpr std::uint64_t seed_salt = 0x96047ULL;
 
@@ -341,6 +342,45 @@
     return collect_result(simulation);
 }
 
+pool_schedule_result run_evacuation_pool_schedule(std::uint64_t seed, bool trace)
+{
+    grown_scheduler scheduler(seed);
+    auto settings = scheduler.draw_settings(seed);
+    settings.host.workers.evacuations.bound = milliseconds{5000};
+    settings.evacuation_read_delay = milliseconds{400};
+    pool_simulation simulation(settings);
+    simulation.trace = trace;
+    scheduler.schedule_run(simulation);
+    std::mt19937_64 random(seed ^ evacuation_seed_salt);
+    const auto draw = [&](std::int64_t min_value, std::int64_t max_value)
+    { return std::uniform_int_distribution<std::int64_t>(min_value, max_value)(random); };
+    // Requests come early, so that much of the load follows the bound.
+    const auto requests = draw(1, 3);
+    for (std::int64_t i = 0; i < requests; ++i)
+    {
+        const auto centre = static_cast<std::uint32_t>(draw(0, simulation.centre_count() - 1));
+        const auto from = startup_time + milliseconds{draw(-2000, 3500)};
+        const auto until = from + milliseconds{draw(0, 3) == 0 ? draw(1, 400) : draw(2000, 11000)};
+        simulation.at(from, [&simulation, centre] { simulation.evacuate(centre, true); });
+        simulation.at(until, [&simulation, centre] { simulation.evacuate(centre, false); });
+    }
+    const auto troubles = draw(0, 3);
+    for (std::int64_t i = 0; i < troubles; ++i)
+    {
+        const auto from = startup_time + milliseconds{draw(-2000, 6000)};
+        const auto until = from + milliseconds{draw(300, 6000)};
+        const auto share = draw(20, 100);
+        for (std::uint32_t host = 0; host < simulation.host_count(); ++host)
+            if (draw(1, 100) <= share)
+            {
+                simulation.at(from, [&simulation, host] { simulation.cut_store(host, true); });
+                simulation.at(until, [&simulation, host] { simulation.cut_store(host, false); });
+            }
+    }
+    simulation.run_until(startup_time + load_time + quiet_time);
+    return collect_result(simulation);
+}
+
 pool_schedule_result run_grown_pool_schedule(std::uint64_t seed, bool trace)
 {
     grown_scheduler scheduler(seed);
--- a/harness/pool_simulation.cpp
+++ b/harness/pool_simulation.cpp
@@ -159,6 +159,81 @@
     return all;
 }
 
+void pool_simulation::evacuate(std::uint32_t centre, bool evacuated)
+{
+    const auto name = "dc" + std::to_string(centre + 1);
+    print((evacuated ? "evacuate " : "take back the evacuation of ") + name);
+    ++m_evacuations.revision;
+    if (evacuated)
+    {
+        m_evacuations.data_centres.insert(name);
+        m_evacuated_at.try_emplace(name, m_now);
+    }
+    else
+    {
+        m_evacuations.data_centres.erase(name);
+        m_evacuated_at.erase(name);
+    }
+    for (std::uint32_t host = 0; host < host_count(); ++host)
+        read_evacuations(host);
+}
+
+void pool_simulation::cut_store(std::uint32_t host, bool cut)
+{
+    print((cut ? "the store does not serve " : "the store serves ") + m_hosts[host]->name);
+    if (cut)
+        m_unserved.insert(host);
+    else if (m_unserved.erase(host) > 0)
+        read_evacuations(host);
+}
+
+void pool_simulation::read_evacuations(std::uint32_t host)
+{
+    const microseconds longest{m_settings.evacuation_read_delay};
+    if (longest.count() == 0 || m_unserved.contains(host))
+        return;
+    std::uniform_int_distribution<std::int64_t> read_delay(0, longest.count());
+    call_host_after(
+        host, microseconds{read_delay(m_random)},
+        [this, host, state = m_evacuations](pool_host& logic, instant now, action_list& out)
+        {
+            if (!m_unserved.contains(host))
+                logic.set_evacuations(now, state, out);
+        });
+}
+
+bool pool_simulation::in_touch(std::uint32_t host) const
+{
+    if (!m_unserved.contains(host))
+        return true;
+    for (std::uint32_t other = 0; other < host_count(); ++other)
+    {
+        const auto pair = std::minmax(host, other);
+        if (other != host && m_hosts[other]->logic && !m_unserved.contains(other) &&
+            !m_cut_hosts.contains({pair.first, pair.second}) &&
+            !m_cut_one_way.contains({other, host}))
+            return true;
+    }
+    return false;
+}
+
+void pool_simulation::check_evacuation(const std::string& worker, const run_ref& run)
+{
+    if (m_evacuated_at.empty())
+        return;
+    const auto model =
+        std::find_if(m_workers.begin(), m_workers.end(),
+                     [&](const auto& candidate) { return candidate->entry().id == worker; });
+    const auto requested = m_evacuated_at.find((*model)->entry().data_centre);
+    const microseconds bound{m_settings.host.workers.evacuations.bound};
+    if (requested != m_evacuated_at.end() &&
+        m_now > std::max(requested->second, m_out_of_touch_at) + bound)
+        add_violation("started in an evacuated data centre " +
+                      std::to_string((m_now - requested->second).count() / 1000) +
+                      " ms after the request: " + run.task.job + "." +
+                      std::to_string(run.task.index) + " on " + worker);
+}
+
 void pool_simulation::publish_registry()
 {
     for (std::uint32_t host = 0; host < host_count(); ++host)
@@ -192,6 +267,7 @@
                   host.set_config(now, config, out);
                   host.set_registry(now, registry(), out);
               });
+    read_evacuations(index);
     tick(index, incarnation);
 }
 
@@ -464,6 +540,8 @@
     const auto& state = *m_hosts[index];
     if (state.incarnation != incarnation || !state.logic)
         return;
+    if (!m_unserved.empty() && !in_touch(index))
+        m_out_of_touch_at = m_now;
     if (limits_processor())
         return add_work(index, m_settings.processor.handle_timers,
                         [this, index, incarnation, due = m_now]
@@ -948,6 +1026,7 @@
 void pool_simulation::on_started(const std::string& worker, const run_ref& run)
 {
     ++m_starts;
+    check_evacuation(worker, run);
     auto& job = m_jobs.at(run.task.job);
     ++job.starts;
     if (trace)
--- a/harness/pool_simulation.hpp
+++ b/harness/pool_simulation.hpp
@@ -14,6 +14,8 @@
 // - A job is answered as failed only if one of its tasks used up its attempts or was on two workers
 //   when they crashed.
 // - A task that crashes its workers is started at most twice after it has crashed three of them.
+// - No task starts in an evacuated data centre after the bound. The bound begins anew when a host
+//   that neither the store nor a served peer could reach is in touch again.
 
 #include "pool/peer_inbox.hpp"
 #include "pool/pool_host.hpp"
@@ -63,6 +65,8 @@
     // A worker that a task has crashed restarts after this time.
     milliseconds crashed_worker_downtime{3000};
     processor_settings processor;
+    // If set, hosts read the evacuations from the store, each after a delay of up to this time.
+    milliseconds evacuation_read_delay{0};
 };
 
 class pool_simulation
@@ -172,6 +176,10 @@
     std::uint32_t worker_count() const { return static_cast<std::uint32_t>(m_workers.size()); }
     standin::pool_worker_model& worker(std::uint32_t index);
     void crash_worker(std::uint32_t index);
+    // Requests the evacuation of a data centre, counted from 0, or takes the request back.
+    void evacuate(std::uint32_t centre, bool evacuated);
+    // The store serves the host again, or does not serve it.
+    void cut_store(std::uint32_t host, bool cut);
     // Starts a new process of the worker. All hosts read its new registry entry 0.7 s later.
     void restart_worker(std::uint32_t index);
     // Changes the capacity that a worker states in its registry entry, and passes the entry on to
@@ -303,6 +311,12 @@
     void on_crashed(const std::string& worker, const pool::run_ref& run);
     void add_violation(const std::string& description);
     pool::worker_registry registry() const;
+    // Gives the host the present state of the evacuations after a random delay, if the store serves
+    // it by then.
+    void read_evacuations(std::uint32_t host);
+    // Returns true if the store serves the host, or a host that exchanges messages with it.
+    bool in_touch(std::uint32_t host) const;
+    void check_evacuation(const std::string& worker, const pool::run_ref& run);
     // Passes the present registry on to all hosts.
     void publish_registry();
 
@@ -326,6 +340,10 @@
     std::uint32_t m_broken_runs = 0; // of the present crash
     // The capacity that a worker had before it shrank, and until when that counts.
     std::map<std::string, std::pair<microseconds, pool::resources>> m_former_capacity;
+    pool::evacuation_state m_evacuations;
+    std::map<std::string, microseconds> m_evacuated_at; // by data centre
+    std::set<std::uint32_t> m_unserved;                 // hosts that the store does not serve
+    microseconds m_out_of_touch_at{-1};                 // when a host was out of touch last
     std::vector<call_record> m_calls;
     std::vector<std::string> m_violations;
     std::size_t m_starts = 0;
--- a/harness/pool_soak_main.cpp
+++ b/harness/pool_soak_main.cpp
@@ -1,11 +1,12 @@
 // egret-pool-soak runs random schedules of pooled hosts and workers.
 //
-//     egret-pool-soak --first 1 --seeds 500 [--grown | --deadly | --restart] [--trace]
+//     egret-pool-soak --first 1 --seeds 500
+//         [--grown | --deadly | --restart | --evacuations] [--trace]
 //
 // With --grown it runs schedules of larger deployments with the faults seen on the platform, with
-// --deadly the same with tasks that crash their workers. If
-// --first is absent, it draws the first seed at random and prints it. The exit code is 1 if a run
-// violated an invariant.
+// --deadly the same with tasks that crash their workers, with --evacuations the same with evacuated
+// data centres and a store that does not serve every host. If --first is absent, it draws the first
+// seed at random and prints it. The exit code is 1 if a run violated an invariant.
 
 #include "harness/pool_schedule.hpp"
 #include "harness/seeds.hpp"
@@ -23,12 +24,15 @@
         "grown", "run larger deployments with the faults seen on the platform")(
         "deadly", "the same with tasks that crash their workers")(
         "restart", "end all hosts at once, on processors with little time to spare")(
-        "trace", "print every event");
+        "evacuations", "the grown deployments with evacuated data centres")("trace",
+                                                                            "print every event");
     po::variables_map given;
     if (const auto code = egretledge::read_options(argc, argv, options, given))
         return *code;
     first = egretledge::harness::first_seed(first);
-    const auto run = given.contains("restart")  ? egretledge::harness::run_restart_pool_schedule
+    const auto run = given.contains("restart") ? egretledge::harness::run_restart_pool_schedule
+                     : given.contains("evacuations")
+                         ? egretledge::harness::run_evacuation_pool_schedule
                      : given.contains("deadly") ? egretledge::harness::run_deadly_pool_schedule
                      : given.contains("grown")  ? egretledge::harness::run_grown_pool_schedule
                                                 : egretledge::harness::run_pool_schedule;
--- a/src/io/edge_metrics.cpp
+++ b/src/io/edge_metrics.cpp
@@ -154,6 +154,9 @@
     gauge_row{"egretledge_pool_wait_ms", "Expected wait of a new task",
               [](const pool::pool_host& host, instant now)
               { return static_cast<double>(host.workers().expected_wait(now.steady).count()); }},
+    gauge_row{"egretledge_evacuated_data_centres", "Data centres in which no task may start",
+              [](const pool::pool_host& host, instant now)
+              { return static_cast<double>(host.evacuated_data_centres(now.steady).size()); }},
     gauge_row{"egretledge_started_jobs_known", "Jobs that are known to have started lately",
               [](const pool::pool_host& host, instant)
               { return static_cast<double>(host.started().known()); }},
--- a/src/io/edge_settings.cpp
+++ b/src/io/edge_settings.cpp
@@ -49,6 +49,25 @@
         value = parsed_value;
     }
 
+    // Reads a duration that may be empty, which leaves `value` as it is. An unusable value is
+    // replaced by `fallback`, and the replacement is appended to `replaced`.
+    void optional_ms(const char* name, milliseconds& value, milliseconds fallback, std::int64_t min,
+                     std::int64_t max, std::vector<std::string>& replaced)
+    {
+        const auto node = m_root[name];
+        if (!node || node.IsNull() || (node.IsScalar() && node.Scalar().empty()))
+            return;
+        double parsed_value = 0;
+        const bool usable = YAML::convert<double>::decode(node, parsed_value) &&
+                            parsed_value >= static_cast<double>(min) &&
+                            parsed_value <= static_cast<double>(max);
+        value = usable ? milliseconds{static_cast<std::int64_t>(parsed_value)} : fallback;
+        if (!usable)
+            replaced.push_back(std::string("setting=") + name + " used=" +
+                               std::to_string(fallback.count()) + " reason=\"not a number from " +
+                               std::to_string(min) + " to " + std::to_string(max) + "\"");
+    }
+
     void flag(const char* name, bool& value)
     {
         const auto node = m_root[name];
@@ -100,6 +119,10 @@
     auto bound_ms = static_cast<std::uint32_t>(settings.config_bound.count());
     read.number<std::uint32_t>("config_bound_ms", bound_ms, 100, 600000);
     settings.config_bound = milliseconds{bound_ms};
+    constexpr milliseconds default_evacuation_bound{5000};
+    constexpr std::int64_t max_bound_ms = 600000;
+    read.optional_ms("evacuation_bound_ms", settings.evacuation_bound, default_evacuation_bound,
+                     100, max_bound_ms, settings.replaced);
     double stop_s = static_cast<double>(settings.stop_timeout.count()) / 1000.0;
     read.number<double>("stop_limit_s", stop_s, 0.1, 3600);
     settings.stop_timeout = milliseconds{static_cast<std::int64_t>(stop_s * 1000)};
--- a/src/io/edge_settings.hpp
+++ b/src/io/edge_settings.hpp
@@ -25,6 +25,9 @@
     std::string store; // IP:PORT of the platform's store
     // Maximum delay until a published configuration is in force here, while the store can be read.
     milliseconds config_bound{2000};
+    // Time after the operator's request by which no task may start in an evacuated data centre; 0:
+    // the deployment has no such bound.
+    milliseconds evacuation_bound{0};
     // Time limit of a planned stop. The platform terminates a process that takes longer.
     milliseconds stop_timeout{6000};
     // No host of the deployment ran before this process. Until a process that may have had
@@ -33,6 +36,8 @@
     std::string log_level = "info"; // debug, info, warning or error
     // Maximum log lines per second; lines above it are dropped and counted.
     std::uint32_t log_lines_per_s = 200;
+    // Settings whose value was replaced by their default, each with its reason; to be logged.
+    std::vector<std::string> replaced;
 };
 
 // Parses the text of a settings file. The error lists every fault, one per line, with its remedy.
--- a/src/pool/admission.cpp
+++ b/src/pool/admission.cpp
@@ -110,7 +110,7 @@
            std::chrono::duration_cast<milliseconds>(schedule.next_free() - now);
 }
 
-bool worker_pool::fits_somewhere(const job_request& job) const
+bool worker_pool::fits_somewhere(const job_request& job, microseconds now) const
 {
     return std::all_of(job.steps.begin(), job.steps.end(),
                        [&](const job_step& step)
@@ -122,7 +122,9 @@
                                                       entry.second.worker.entry();
                                                   return registered.service == job.terms.service &&
                                                          step.demand.fits(registered.capacity) &&
-                                                         !entry.second.leaving;
+                                                         !entry.second.leaving &&
+                                                         m_evacuations.allows_start(
+                                                             registered.data_centre, false, now);
                                               });
                        });
 }
@@ -169,7 +171,7 @@
 std::optional<call_answer> worker_pool::evaluate_admission(microseconds now,
                                                            const open_job& job) const
 {
-    if (!fits_somewhere(job.request))
+    if (!fits_somewhere(job.request, now))
         return refusal(answer_kind::no_worker_fits, now, "no worker of this pool can run it");
     const auto schedule = worker_slots(now);
     if (schedule.empty())
--- a/src/pool/call_router.cpp
+++ b/src/pool/call_router.cpp
@@ -274,11 +274,33 @@
     call.runs_expire_at = runs_expire_at;
 }
 
+bool call_router::has_live_pool(microseconds now) const
+{
+    const auto& hosts = m_peers.all();
+    return (m_local_pool.total_cpu(now) > 0 && !m_local_pool_closed) ||
+           std::any_of(hosts.begin(), hosts.end(),
+                       [&](const auto& item)
+                       {
+                           return item.second.load.total_cpu > 0 && !item.second.leaving &&
+                                  m_peers.alive(item.first, now);
+                       });
+}
+
+bool call_router::evacuated_out(microseconds now, const open_call& call, bool pool_expected) const
+{
+    if (call.orphan || !m_evacuation.all_evacuated)
+        return false;
+    return m_evacuation.all_evacuated(call.job.terms.service) ||
+           (!pool_expected && m_evacuation.some_evacuated() && !has_live_pool(now));
+}
+
 microseconds call_router::wait_limit(microseconds now, const open_call& call) const
 {
     const auto settled = m_peers.settled_at();
     const bool pool_expected =
         call.orphan || settled.count() < 0 || now - settled < m_settings.initial_takeover_period;
+    if (evacuated_out(now, call, pool_expected))
+        return call.arrived;
     if (!pool_expected)
         return call.arrived + spare_time(call.job);
     return latest_end(call.job, call.arrived, m_settings.late_factor) - longest_task(call.job);
--- a/src/pool/call_router.hpp
+++ b/src/pool/call_router.hpp
@@ -47,6 +47,14 @@
     call_router(call_router_settings settings, membership& peers, worker_pool& local_pool,
                 started_jobs& started);
 
+    // Tell whether workers are in evacuated data centres: all listed ones of a service, or any.
+    struct evacuation_checks
+    {
+        std::function<bool(const std::string& service)> all_evacuated;
+        std::function<bool()> some_evacuated;
+    };
+    void set_evacuation_checks(evacuation_checks checks) { m_evacuation = std::move(checks); }
+
     // Accepts a job from a caller. The call is answered once, by an answer_call action.
     void submit(instant now, std::uint64_t call, job_request job, action_list& out);
     // Ends a call whose caller has disconnected, and withdraws its job.
@@ -140,6 +148,11 @@
     // Returns the time until which a call without a pool stays queued.
     microseconds wait_limit(microseconds now, const open_call& call) const;
     void dispatch_queued(microseconds now, action_list& out);
+    // Returns true if a pool has workers that accept tasks.
+    bool has_live_pool(microseconds now) const;
+    // Returns true if evacuations have left no pool for the job. `pool_expected`: workers may be
+    // acquired soon.
+    bool evacuated_out(microseconds now, const open_call& call, bool pool_expected) const;
     // Returns the pool for an orphaned job: its former pool if that host is alive again, else a
     // pool that holds all of its former workers, or any pool once their leases have expired.
     std::optional<std::string> choose_for_orphan(microseconds now, open_call& call) const;
@@ -184,6 +197,7 @@
     std::map<std::string, past_answer> m_past;
     std::deque<std::pair<microseconds, std::string>> m_past_order;
     bool m_local_pool_closed = false;
+    evacuation_checks m_evacuation;
     totals m_totals;
 };
 
--- a/src/pool/membership.cpp
+++ b/src/pool/membership.cpp
@@ -16,6 +16,18 @@
 
 } // namespace
 
+void to_wire(const evacuation_state& state, wire::PoolEvacuations& out)
+{
+    out.set_revision(state.revision);
+    for (const auto& data_centre : state.data_centres)
+        out.add_data_centres(data_centre);
+}
+
+evacuation_state from_wire(const wire::PoolEvacuations& message)
+{
+    return {message.revision(), {message.data_centres().begin(), message.data_centres().end()}};
+}
+
 membership::membership(membership_settings settings) : m_settings(std::move(settings)) {}
 
 void membership::introduce(microseconds now, const std::string& name, const std::string& address,
@@ -143,6 +155,8 @@
         own_state.started->announce(to.echo_sent, *heartbeat.mutable_started());
     if (own_state.crashes != nullptr)
         own_state.crashes->announce(to.echo_sent, *heartbeat.mutable_crashes());
+    if (own_state.evacuations != nullptr)
+        to_wire(*own_state.evacuations, *heartbeat.mutable_evacuations());
     while (!to.withdrawn.empty() &&
            (to.withdrawn.front().first < to.echo_sent ||
             now - to.withdrawn.front().first > m_settings.max_withdrawal_age))
--- a/src/pool/membership.hpp
+++ b/src/pool/membership.hpp
@@ -14,6 +14,7 @@
 // heard none of them has cancelled the job by itself.
 
 #include "pool/crash_record.hpp"
+#include "pool/evacuations.hpp"
 #include "pool/started_jobs.hpp"
 #include <deque>
 #include <set>
@@ -103,6 +104,10 @@
     std::deque<std::pair<microseconds, std::uint64_t>> withdrawn;
 };
 
+// Conversions between a state of the evacuations and its message.
+void to_wire(const evacuation_state& state, wire::PoolEvacuations& out);
+evacuation_state from_wire(const wire::PoolEvacuations& message);
+
 class membership
 {
 public:
@@ -122,8 +127,9 @@
         std::uint64_t held_version = 0;
         std::vector<std::string> held;
         std::vector<std::string> unread;
-        const started_jobs* started = nullptr; // null: none are announced
-        const crash_record* crashes = nullptr; // null: none are announced
+        const started_jobs* started = nullptr;         // null: none are announced
+        const crash_record* crashes = nullptr;         // null: none are announced
+        const evacuation_state* evacuations = nullptr; // null: not known
     };
     // Sends the heartbeats that are due. `announce` is called only if there are any.
     void tick(microseconds now, const std::function<announcement()>& announce, action_list& out);
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -35,10 +35,11 @@
 
 } // namespace
 
-bool worker_pool::accepts(const worker_record& record, microseconds now) const
+bool worker_pool::accepts(const worker_record& record, microseconds now, bool begun) const
 {
     if (!record.worker.usable() || !record.worker.entry_is_current() || record.leaving ||
-        record.unregistered || record.handed_over)
+        record.unregistered || record.handed_over ||
+        !m_evacuations.allows_start(record.worker.entry().data_centre, begun, now))
         return false;
     if (now < record.quarantined_until)
         return false;
@@ -95,7 +96,8 @@
     for (auto& [id, record] : m_workers)
     {
         const auto& registered = record.worker.entry();
-        if (!accepts(record, now) || registered.service != job.request.terms.service ||
+        if (!accepts(record, now, job.starts > 0) ||
+            registered.service != job.request.terms.service ||
             record.first_held_version > visible_version)
             continue;
         if ((record.reserved_for && *record.reserved_for != name) ||
@@ -139,7 +141,7 @@
         if (record.reserved_for == name)
             return;
         reserved += record.reserved_for ? 1 : 0;
-        if (record.reserved_for || !accepts(record, now) ||
+        if (record.reserved_for || !accepts(record, now, job.starts > 0) ||
             registered.service != job.request.terms.service ||
             record.first_held_version > visible_version || !step.demand.fits(registered.capacity) ||
             (!step.required_label.empty() && !has_label(registered, step.required_label)))
@@ -162,9 +164,10 @@
             continue;
         const auto& name = *record.reserved_for;
         task_state* task = nullptr;
-        const bool waits = find(name, task) != nullptr && task->stage == task_stage::waiting &&
+        const auto* job = find(name, task);
+        const bool waits = job != nullptr && task->stage == task_stage::waiting &&
                            m_crashes.verdict(name) == crash_verdict::suspect &&
-                           accepts(record, now);
+                           accepts(record, now, job->starts > 0);
         const auto runs = record.worker.runs();
         if (!waits && std::none_of(runs.begin(), runs.end(),
                                    [&](const auto& view) { return view.run.task == name; }))
@@ -172,6 +175,51 @@
     }
 }
 
+bool worker_pool::evacuated_step(const job_request& job, const job_step& step, bool begun,
+                                 microseconds now) const
+{
+    bool evacuated = false;
+    for (const auto& [id, record] : m_workers)
+    {
+        const auto& registered = record.worker.entry();
+        if (registered.service != job.terms.service || record.leaving || record.unregistered ||
+            record.handed_over || !step.demand.fits(registered.capacity) ||
+            (!step.required_label.empty() && !has_label(registered, step.required_label)))
+            continue;
+        if (m_evacuations.allows_start(registered.data_centre, begun, now))
+            return false;
+        evacuated = true;
+    }
+    return evacuated;
+}
+
+void worker_pool::end_evacuated_jobs(microseconds now, action_list& out)
+{
+    if (m_evacuations.empty())
+        return;
+    std::vector<std::string> ended;
+    for (const auto& [id, job] : m_jobs)
+        if (std::any_of(job.tasks.begin(), job.tasks.end(),
+                        [&, &open = job](const task_state& task)
+                        {
+                            return task.stage == task_stage::waiting &&
+                                   evacuated_step(open.request, open.request.steps[task.step],
+                                                  open.starts > 0, now);
+                        }))
+            ended.push_back(id);
+    for (const auto& id : ended)
+    {
+        auto& job = m_jobs.at(id);
+        if (job.starts > 0 || ending(id))
+            finish(now, job, {answer_kind::worker_lost, {}, "the data centre is evacuated"}, false,
+                   out);
+        else
+            finish(now, job,
+                   refusal(answer_kind::no_worker_fits, now, "the data centre is evacuated"), true,
+                   out);
+    }
+}
+
 std::vector<worker_pool::open_job*> worker_pool::placement_order(microseconds now)
 {
     std::vector<open_job*> jobs;
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -32,6 +32,9 @@
             const auto* host = m_membership.find(caller.host);
             return host == nullptr ? 0 : host->echoed_held;
         });
+    m_call_router.set_evacuation_checks({[this](const std::string& service)
+                                         { return all_evacuated(service); },
+                                         [this] { return some_evacuated(); }});
 }
 
 void pool_host::set_senders(action_list& out) const
@@ -99,6 +102,80 @@
                                                    " cleared=0"});
 }
 
+void pool_host::set_evacuations(instant now, const evacuation_state& state, action_list& out)
+{
+    merge_evacuations(now, state, out);
+    forward_results(now, out);
+    set_senders(out);
+}
+
+void pool_host::merge_evacuations(instant now, const evacuation_state& state, action_list& out)
+{
+    if (!m_pool.merge_evacuations(now.steady, state, out))
+        return;
+    m_membership.expedite_heartbeats();
+    log_evacuations(now, out);
+}
+
+void pool_host::log_evacuations(instant now, action_list& out)
+{
+    // Before the workers are listed and the hosts have met, every data centre is unknown.
+    if (m_registry.empty() || m_membership.settled_at().count() < 0)
+        return;
+    m_pool.log_evacuations(
+        now.steady,
+        [&](const std::string& data_centre) { return data_centre_exists(data_centre, now.steady); },
+        out);
+}
+
+bool pool_host::data_centre_exists(const std::string& data_centre, microseconds now) const
+{
+    if (data_centre == m_settings.membership.data_centre)
+        return true;
+    const auto& hosts = m_membership.all();
+    return std::any_of(m_registry.begin(), m_registry.end(),
+                       [&](const auto& item) { return item.second.data_centre == data_centre; }) ||
+           std::any_of(hosts.begin(), hosts.end(),
+                       [&](const auto& item) {
+                           return item.second.data_centre == data_centre &&
+                                  m_membership.alive(item.first, now);
+                       });
+}
+
+std::vector<std::string> pool_host::evacuated_data_centres(microseconds now) const
+{
+    std::vector<std::string> known;
+    if (const auto* state = m_pool.evacuated().state())
+        std::copy_if(
+            state->data_centres.begin(), state->data_centres.end(), std::back_inserter(known),
+            [&](const std::string& data_centre) { return data_centre_exists(data_centre, now); });
+    return known;
+}
+
+bool pool_host::all_evacuated(const std::string& service) const
+{
+    if (m_pool.evacuated().empty())
+        return false;
+    bool listed = false;
+    for (const auto& [id, entry] : m_registry)
+    {
+        if (entry.leaving || (!service.empty() && entry.service != service))
+            continue;
+        if (!m_pool.evacuated().contains(entry.data_centre))
+            return false;
+        listed = true;
+    }
+    return listed;
+}
+
+bool pool_host::some_evacuated() const
+{
+    return !m_pool.evacuated().empty() &&
+           std::any_of(m_registry.begin(), m_registry.end(),
+                       [&](const auto& item)
+                       { return m_pool.evacuated().contains(item.second.data_centre); });
+}
+
 void pool_host::run_overdue_timers(instant now, action_list& out)
 {
     if (m_last_tick.count() < 0 || now.steady - m_last_tick > m_settings.max_tick_delay)
@@ -129,7 +206,8 @@
                                             m_pool.held(),
                                             m_pool.unread(),
                                             &m_started,
-                                            &m_pool.crashes()};
+                                            &m_pool.crashes(),
+                                            m_pool.evacuated().state()};
         },
         out);
     cancel_silent_callers(now, out);
@@ -140,6 +218,7 @@
         m_next_assignment = now.steady + m_settings.assignment_interval;
         acquire_and_release(now, out);
         update_awaited_lists(now, out);
+        log_evacuations(now, out);
         request_config(now, out);
     }
     forward_results(now, out);
@@ -513,6 +592,8 @@
     {
         m_started.record_announced(now.steady, message.pool_beat().started());
         m_pool.crashes().record_announced(now.steady, message.pool_beat().crashes());
+        if (message.pool_beat().has_evacuations())
+            merge_evacuations(now, from_wire(message.pool_beat().evacuations()), out);
         const auto* host = m_membership.on_heartbeat(now.steady, from, message.pool_beat(), out);
         if (host == nullptr)
             break;
@@ -586,7 +667,9 @@
 
 bool pool_host::ready(instant now) const
 {
-    return !m_leaving && m_config && m_call_router.can_place(now.steady);
+    // While all workers are evacuated this host still serves callers, by refusals.
+    return !m_leaving && m_config &&
+           (m_call_router.can_place(now.steady) || all_evacuated(std::string{}));
 }
 
 } // namespace egretledge::pool
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -92,6 +92,8 @@
     // force.
     bool set_config(instant now, route_config_ptr config, action_list& out);
     void set_registry(instant now, worker_registry registry, action_list& out);
+    // Merges the state of the evacuations that the store gives.
+    void set_evacuations(instant now, const evacuation_state& state, action_list& out);
     void tick(instant now, action_list& out);
     // Reports that this process handles an event now that was due `delay` ago. Called with each
     // timer, for the longest of such delays.
@@ -129,6 +131,10 @@
     const membership& hosts() const { return m_membership; }
     const started_jobs& started() const { return m_started; }
     const processing_delay& delay() const { return m_delay; }
+    // Returns true if a registered worker or a live host is in the data centre.
+    bool data_centre_exists(const std::string& data_centre, microseconds now) const;
+    // Returns the evacuated data centres that exist.
+    std::vector<std::string> evacuated_data_centres(microseconds now) const;
 
 private:
     // Runs the timers if the last tick is more than `max_tick_delay` ago.
@@ -146,6 +152,13 @@
     // `partitioned` is membership::partitioned().
     bool may_acquire(const worker_entry& entry, bool partitioned, instant now, action_list& out);
     void record_starts(instant now);
+    void merge_evacuations(instant now, const evacuation_state& state, action_list& out);
+    void log_evacuations(instant now, action_list& out);
+    // Returns true if workers of the service are listed and all of them are in evacuated data
+    // centres. An empty service stands for all workers.
+    bool all_evacuated(const std::string& service) const;
+    // Returns true if a listed worker is in an evacuated data centre.
+    bool some_evacuated() const;
     // Evaluates whether "not run" answers have to wait for the lists of a silent host's workers.
     void update_awaited_lists(instant now, action_list& out);
     void forward_results(instant now, action_list& out);
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -44,7 +44,7 @@
 
 worker_pool::worker_pool(worker_pool_settings settings, std::uint64_t identity)
     : m_settings(settings), m_identity(identity & ((1ULL << fence_identity_bits) - 1)),
-      m_crashes(settings.crashes)
+      m_crashes(settings.crashes), m_evacuations(settings.evacuations)
 {
 }
 
@@ -190,8 +190,32 @@
             (answer.detail.empty() ? "" : " detail=\"" + answer.detail + "\"")});
 }
 
+bool worker_pool::merge_evacuations(microseconds now, const evacuation_state& state,
+                                    action_list& out)
+{
+    // Most heartbeats repeat the state in force.
+    const auto* known = m_evacuations.state();
+    if (known != nullptr && (state.revision < known->revision || state == *known))
+        return false;
+    const auto former = known == nullptr ? std::set<std::string>{} : known->data_centres;
+    if (!m_evacuations.merge(now, state))
+        return false;
+    // After an evacuation a worker may be slow for some seconds because it is cold, which says
+    // nothing about its usual speed.
+    for (auto& [id, record] : m_workers)
+    {
+        const auto& data_centre = record.worker.entry().data_centre;
+        if (former.contains(data_centre) && !m_evacuations.contains(data_centre))
+            record.slowness = 1;
+    }
+    end_evacuated_jobs(now, out);
+    place(now, out);
+    return true;
+}
+
 void worker_pool::tick(microseconds now, action_list& out)
 {
+    m_evacuations.begin(now);
     worker_events events;
     for (auto& [id, record] : m_workers)
     {
@@ -224,6 +248,7 @@
     expire_jobs(now, out);
     stop_stuck_runs(now, out);
     m_crashes.evict_expired(now);
+    end_evacuated_jobs(now, out);
     place(now, out);
 }
 
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -6,6 +6,7 @@
 
 #include "core/run_times.hpp"
 #include "pool/crash_record.hpp"
+#include "pool/evacuations.hpp"
 #include "pool/held_worker.hpp"
 #include "pool/slot_schedule.hpp"
 #include <functional>
@@ -18,6 +19,7 @@
 {
     held_worker_settings workers;
     crash_record_settings crashes;
+    evacuation_settings evacuations;
     // A job that cannot end within this many times its objective is refused: its caller does not
     // wait longer.
     double late_factor = 3;
@@ -131,6 +133,17 @@
     crash_record& crashes() { return m_crashes; }
     const crash_record& crashes() const { return m_crashes; }
 
+    // The evacuated data centres, whose workers start no tasks.
+    const evacuations& evacuated() const { return m_evacuations; }
+    // Merges a state of the evacuations. Returns true if it became known or its set of data centres
+    // changed. Jobs that cannot begin here any more are declined.
+    bool merge_evacuations(microseconds now, const evacuation_state& state, action_list& out);
+    void log_evacuations(microseconds now, const std::function<bool(const std::string&)>& exists,
+                         action_list& out)
+    {
+        m_evacuations.log_changes(now, exists, out);
+    }
+
     void tick(microseconds now, action_list& out);
     // Processes a worker's reply. Returns false if the request is not one of this pool's.
     bool on_worker_reply(microseconds now, std::uint64_t request, const worker_reply& reply,
@@ -231,8 +244,9 @@
                      action_list& out) const;
     // Returns the learned run time of a task of this step, at least 1 ms.
     milliseconds expected_run_time(const job_request& job, const job_step& step) const;
-    // Returns true if a task may be placed on the worker now, capacity aside.
-    bool accepts(const worker_record& record, microseconds now) const;
+    // Returns true if a task may be placed on the worker now, capacity aside. `begun`: an earlier
+    // task of its job has started.
+    bool accepts(const worker_record& record, microseconds now, bool begun = false) const;
     // Returns the best worker for the task, or null if none can run it now. Considers only workers
     // that were held in version `visible_version` already.
     worker_record* choose_worker(const open_job& job, const task_state& task,
@@ -243,8 +257,16 @@
                         microseconds now);
     // Ends the reservations of tasks that neither wait nor run here.
     void release_reservations(microseconds now);
-    // Returns true if every step fits on some held worker of the service when that is idle.
-    bool fits_somewhere(const job_request& job) const;
+    // Returns true if every step fits on some held worker of the service when that is idle, and a
+    // job that has not begun may start there.
+    bool fits_somewhere(const job_request& job, microseconds now) const;
+    // Returns true if the workers that the step could run on are held, but all of them are in
+    // evacuated data centres.
+    bool evacuated_step(const job_request& job, const job_step& step, bool begun,
+                        microseconds now) const;
+    // Declines the jobs that have not begun and could do so only in evacuated data centres. Ends
+    // those that have begun as lost, once their other tasks may not start there any more.
+    void end_evacuated_jobs(microseconds now, action_list& out);
     void place(microseconds now, action_list& out);
     bool place_tasks(microseconds now, open_job& job, action_list& out);
     // Returns true if all steps that the task's step depends on are done.
@@ -326,6 +348,7 @@
     std::map<std::string, std::map<run_ref, microseconds>> m_former;
     run_times m_run_times;
     crash_record m_crashes;
+    evacuations m_evacuations;
     resources m_usual_demand; // of the most recently placed task
     std::vector<pool_result> m_results;
     microseconds m_late_jobs_served_at{0}; // when last no late job was left waiting for capacity
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -603,6 +603,7 @@
         {"{{platform.addr}}", "1.2.3.5:9"},
         {"{{bounds.grace_s}}", "6"},
         {"{{bounds.config_ms}}", "2000"},
+        {"{{bounds.evacuate_ms}}", "5000"},
         {"{{bootstrap}}", "true"},
         {"{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", "\"1.2.3.6:3\""}};
     for (const auto& [placeholder, value] : values)
@@ -614,6 +615,7 @@
     BOOST_TEST(settings->seeds.at(0) == "1.2.3.6:3");
     BOOST_TEST(settings->stop_timeout.count() == 6000);
     BOOST_TEST(settings->config_bound.count() == 2000);
+    BOOST_TEST(settings->evacuation_bound.count() == 5000);
     BOOST_TEST(settings->first_start);
 }
 
