Decline jobs at once that only evacuated workers could run

A pool whose other workers were being handed over admitted such a job and declined it with the next check, up to 25 ms later (seen in the test of an evacuation during a hand-over). Admission now asks for the evacuation itself.

Measured: the 13 cases of pool_evacuation_test.cpp without the random schedules, the 60 random evacuation schedules (before this change), and 6 cases of platform_test for the store's records and the settings pass.

--- a/src/pool/admission.cpp
+++ b/src/pool/admission.cpp
@@ -173,6 +173,10 @@
 {
     if (!fits_somewhere(job.request, now))
         return refusal(answer_kind::no_worker_fits, now, "no worker of this pool can run it");
+    if (std::any_of(job.request.steps.begin(), job.request.steps.end(),
+                    [&](const job_step& step)
+                    { return evacuated_step(job.request, step, false, now); }))
+        return refusal(answer_kind::no_worker_fits, now, "the data centre is evacuated");
     const auto schedule = worker_slots(now);
     if (schedule.empty())
         return now + wait_without_workers + job.critical_path <= job.deadline
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -179,6 +179,8 @@
                                  microseconds now) const
 {
     bool evacuated = false;
+    if (m_evacuations.empty())
+        return evacuated;
     for (const auto& [id, record] : m_workers)
     {
         const auto& registered = record.worker.entry();
