Tests of evacuations in heartbeats, without a live pool, and of the gauge

A heartbeat must carry the state and not undo a newer one; jobs must be refused at once while the only data centre outside has lost its hosts; the gauge counts data centres that exist.

--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -81,6 +81,20 @@
     BOOST_TEST(!has_line(text, "egretledge_resident_bytes 0"));
 }
 
+// Guards against a gauge that counts data centres of which nothing is known.
+BOOST_AUTO_TEST_CASE(a_gauge_reports_the_evacuated_data_centres_that_exist)
+{
+    edge_metrics metrics;
+    auto host = make_host();
+    pool::action_list out;
+    const instant now{10s, 1000ms};
+    BOOST_TEST(has_line(metrics.text(host, now, {}), "egretledge_evacuated_data_centres 0"));
+    host.set_evacuations(now, {3, {"dc1", "dc2"}}, out);
+    BOOST_TEST(has_line(metrics.text(host, now, {}), "egretledge_evacuated_data_centres 1"));
+    host.set_evacuations(now, {4, {}}, out);
+    BOOST_TEST(has_line(metrics.text(host, now, {}), "egretledge_evacuated_data_centres 0"));
+}
+
 BOOST_AUTO_TEST_CASE(each_answer_outcome_maps_to_its_latency_histogram)
 {
     BOOST_TEST((latency_of(answer_kind::ok) == latency::call_complete));
--- a/tests/pool_evacuation_test.cpp
+++ b/tests/pool_evacuation_test.cpp
@@ -461,6 +461,94 @@
     BOOST_TEST(sim.violations().empty());
 }
 
+// Guards against callers that wait for a pool that nobody expects: the only data centre that is not
+// evacuated has lost its hosts, and its workers are not acquired yet.
+BOOST_AUTO_TEST_CASE(jobs_are_refused_at_once_while_no_pool_outside_is_alive)
+{
+    pool_simulation sim(with_evacuations());
+    sim.run_until(at_ms(12500));
+    sim.evacuate(0, true);
+    sim.evacuate(1, true);
+    sim.run_until(at_ms(13500));
+    sim.submit(0, "before", 2, usual_task, 100ms);
+    sim.run_until(at_ms(14000));
+    BOOST_TEST((sim.last_call("before")->answer.kind == answer_kind::ok));
+    sim.kill_host(4);
+    sim.kill_host(5);
+    sim.run_until(at_ms(14600));
+    for (std::uint32_t host = 0; host < 4; ++host)
+        sim.submit(host, "none" + std::to_string(host), 2, usual_task, 100ms);
+    sim.run_until(at_ms(14650));
+    for (std::uint32_t host = 0; host < 4; ++host)
+        BOOST_TEST(sim.last_call("none" + std::to_string(host))->answered.count() >= 0);
+    // Hosts of the other data centres take the workers over.
+    sim.run_until(at_ms(18000));
+    sim.submit(0, "after", 2, usual_task, 100ms);
+    sim.run_until(at_ms(19000));
+    BOOST_TEST((sim.last_call("after")->answer.kind == answer_kind::ok));
+    BOOST_TEST(runs_in(sim, "dc1") + runs_in(sim, "dc2") == 0U);
+    BOOST_TEST(sim.violations().empty());
+}
+
+// Guards against a host that neither passes on what it knows nor believes its peers, or believes
+// one that is behind.
+BOOST_AUTO_TEST_CASE(heartbeats_carry_the_state_of_the_evacuations)
+{
+    pool_host_settings settings;
+    settings.membership.self = {"h1", 1};
+    settings.membership.data_centre = "dc1";
+    settings.membership.address = "h1";
+    pool_host host(settings);
+    action_list out;
+    std::int64_t ms = 1000;
+    const auto now = [&] { return instant{at_ms(ms), milliseconds{1000000 + ms}}; };
+    std::uint64_t sequence = 0;
+    const auto hear = [&](const std::optional<evacuation_state>& state)
+    {
+        wire::PeerMessage message;
+        message.mutable_from()->set_name("h2");
+        message.mutable_from()->set_incarnation(1);
+        auto& heartbeat = *message.mutable_pool_beat();
+        heartbeat.set_sequence(++sequence);
+        heartbeat.set_address("h2");
+        if (state)
+            to_wire(*state, *heartbeat.mutable_evacuations());
+        host.on_peer(now(), message, out);
+    };
+    // Returns the state in the next heartbeat to the peer.
+    const auto announced = [&]() -> std::optional<evacuation_state>
+    {
+        for (int i = 0; i < 20; ++i)
+        {
+            ms += 20;
+            out.clear();
+            host.tick(now(), out);
+            for (const auto& action : out)
+                if (const auto* sent = std::get_if<actions::send_peer>(&action))
+                    if (sent->message.has_pool_beat())
+                    {
+                        const auto& beat = sent->message.pool_beat();
+                        return beat.has_evacuations() ? std::optional{from_wire(beat.evacuations())}
+                                                      : std::nullopt;
+                    }
+        }
+        BOOST_FAIL("no heartbeat was sent");
+        return std::nullopt;
+    };
+    hear(std::nullopt);
+    BOOST_TEST(!announced().has_value());
+    hear(evacuation_state{4, {"dc1"}});
+    BOOST_TEST((announced() == evacuation_state{4, {"dc1"}}));
+    host.set_evacuations(now(), {6, {}}, out);
+    BOOST_TEST((announced() == evacuation_state{6, {}}));
+    hear(evacuation_state{5, {"dc1", "dc2"}});
+    hear(std::nullopt); // a host of an earlier release
+    BOOST_TEST((announced() == evacuation_state{6, {}}));
+    hear(evacuation_state{9, {"dc2"}});
+    host.set_evacuations(now(), {7, {"dc1"}}, out); // the store's answer was late
+    BOOST_TEST((announced() == evacuation_state{9, {"dc2"}}));
+}
+
 // Guards against effects of a request for a data centre that nobody knows.
 BOOST_AUTO_TEST_CASE(a_request_for_an_unknown_data_centre_has_no_effect)
 {
