--- a/src/io/http_server.cpp
+++ b/src/io/http_server.cpp
@@ -40,6 +40,9 @@
 {
 
 constexpr std::string_view bearer_prefix = "Bearer ";
+// Bytes of the caller's next requests that a connection keeps while a request is open: one request
+// of a usual size. What exceeds it stays in the socket.
+constexpr std::size_t max_pipelined_bytes = 4096;
 
 template <class Stream>
 class session : public std::enable_shared_from_this<session<Stream>>
@@ -210,22 +213,44 @@
         return got == 0 || (got < 0 && errno != EAGAIN);
     }
 
-    // Waits for the caller to close the connection while its request is open. Bytes that arrive
-    // meanwhile belong to the caller's next request and end the wait.
+    // Waits for the caller to close or reset the connection while its request is open.
     void watch_connection(std::uint64_t number)
     {
         m_watched_request = number;
-        m_stream.socket().async_wait(tcp::socket::wait_read,
-                                     [self = this->shared_from_this(), number](error_code code)
-                                     {
-                                         if (code || self->m_watched_request != number)
-                                             return;
-                                         self->m_watched_request = 0;
-                                         if (!self->is_disconnected())
-                                             return;
-                                         self->m_keep_alive = false;
-                                         self->m_common->settings.on_disconnect(number);
-                                     });
+        wait_for_disconnect();
+    }
+
+    // Bytes that arrive during the wait belong to the caller's next request. They are kept for it,
+    // so that the end of the connection behind them is seen. Once `max_pipelined_bytes` are kept,
+    // only a reset is noticed.
+    void wait_for_disconnect()
+    {
+        const auto number = m_watched_request;
+        const bool full = m_buffer.size() >= max_pipelined_bytes;
+        m_stream.socket().async_wait(
+            full ? tcp::socket::wait_error : tcp::socket::wait_read,
+            [self = this->shared_from_this(), number, full](error_code code)
+            {
+                if (code || self->m_watched_request != number)
+                    return;
+                if (!full && self->receive_pipelined())
+                    return self->wait_for_disconnect();
+                self->m_watched_request = 0;
+                self->m_keep_alive = false;
+                self->m_common->settings.on_disconnect(number);
+            });
+    }
+
+    // Moves bytes that have arrived into the buffer, up to `max_pipelined_bytes` in all. Returns
+    // false if the connection has ended.
+    bool receive_pipelined()
+    {
+        const auto space = m_buffer.prepare(max_pipelined_bytes - m_buffer.size());
+        const auto got =
+            ::recv(m_stream.socket().native_handle(), space.data(), space.size(), MSG_DONTWAIT);
+        if (got > 0)
+            m_buffer.commit(static_cast<std::size_t>(got));
+        return got > 0 || (got < 0 && (errno == EAGAIN || errno == EINTR));
     }
 
     void stop_watching()
--- a/src/pool/pool_types.hpp
+++ b/src/pool/pool_types.hpp
@@ -60,6 +60,7 @@
     std::vector<std::string> labels; // the worker's kind and rack
     bool leaving = false;
     std::uint64_t start_time_ms = 0; // Unix time of the process start; 0 if unknown
+    std::uint64_t report = 0;        // number of the entry, rising within one process
     bool operator==(const worker_entry&) const = default;
 };
 using worker_registry = std::map<std::string, worker_entry>; // by worker id
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -199,6 +199,75 @@
     BOOST_TEST(handled == 1U);
 }
 
+// Guards against a job that goes on after its caller's connection was reset, while the caller sends
+// it to another host: bytes of the caller's next request ended the watch for the reset.
+BOOST_AUTO_TEST_CASE(a_reset_behind_pipelined_requests_is_noticed_while_the_first_one_is_open)
+{
+    using boost::asio::ip::tcp;
+    const std::string request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}";
+    for (const std::size_t pipelined : {0U, 1U, 500U})
+    {
+        boost::asio::io_context context;
+        std::vector<http_responder> open;
+        std::vector<std::uint64_t> disconnected;
+        http_server_settings settings;
+        settings.address = "127.0.0.1";
+        settings.on_disconnect = [&](std::uint64_t number) { disconnected.push_back(number); };
+        http_server server(context, settings,
+                           [&](const http_request&, http_responder respond)
+                           { open.push_back(std::move(respond)); });
+        tcp::socket caller(context);
+        caller.connect({boost::asio::ip::make_address("127.0.0.1"), server.port()});
+        const auto send = [&](std::size_t count)
+        {
+            for (; count > 0; --count)
+                boost::asio::write(caller, boost::asio::buffer(request));
+            context.restart();
+            context.run_for(std::chrono::milliseconds{100});
+        };
+        send(1);
+        send(pipelined);
+        BOOST_TEST(open.size() == 1U);
+        BOOST_TEST(disconnected.empty());
+        caller.set_option(tcp::socket::linger(true, 0));
+        caller.close();
+        context.restart();
+        context.run_for(std::chrono::milliseconds{200});
+        BOOST_TEST(disconnected.size() == 1U, pipelined << " further requests");
+    }
+}
+
+// Guards against pipelined requests that are lost or answered out of order, now that they are read
+// while an earlier one is open.
+BOOST_AUTO_TEST_CASE(pipelined_requests_are_answered_in_turn)
+{
+    using boost::asio::ip::tcp;
+    constexpr std::size_t count = 200; // more bytes than a connection keeps
+    boost::asio::io_context context;
+    std::vector<std::string> paths;
+    http_server_settings settings;
+    settings.address = "127.0.0.1";
+    settings.on_disconnect = [](std::uint64_t) {};
+    http_server server(context, settings,
+                       [&](const http_request& request, const http_responder& respond)
+                       {
+                           paths.push_back(request.path);
+                           respond({200, "{}", "application/json", 0});
+                       });
+    tcp::socket caller(context);
+    caller.connect({boost::asio::ip::make_address("127.0.0.1"), server.port()});
+    std::string text;
+    std::vector<std::string> sent;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        sent.push_back("/" + std::to_string(i));
+        text += "POST " + sent.back() + " HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}";
+    }
+    boost::asio::write(caller, boost::asio::buffer(text));
+    context.run_for(std::chrono::milliseconds{500});
+    BOOST_TEST(paths == sent, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(jobs_and_operator_paths_work_over_http)
 {
     test_site here;
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -259,6 +259,42 @@
         BOOST_TEST(!decode_worker(id, good_entry).has_value());
 }
 
+// Guards against tasks that start on a draining worker: the store carried out an older report of
+// "ready" late, behind the report of "draining", and the worker counted as ready again.
+BOOST_AUTO_TEST_CASE(a_report_that_the_store_writes_late_does_not_undo_draining)
+{
+    const auto entry = [](std::uint64_t start_time_ms, std::uint64_t report)
+    {
+        pool::worker_entry result;
+        result.id = "i-1";
+        result.start_time_ms = start_time_ms;
+        result.report = report;
+        return result;
+    };
+    const auto at = [](std::int64_t ms) { return microseconds{ms * 1000}; };
+    report_order order;
+    BOOST_TEST(order.accept(at(0), entry(100, 7)));
+    BOOST_TEST(order.accept(at(100), entry(100, 9)));
+    BOOST_TEST(!order.accept(at(4650), entry(100, 8)));
+    BOOST_TEST(order.accept(at(5000), entry(100, 9))); // read again after a gap in the history
+    BOOST_TEST(order.accept(at(5100), entry(200, 1))); // the worker has restarted
+    BOOST_TEST(!order.accept(at(6000), entry(100, 10)));
+    BOOST_TEST(order.accept(at(6100), entry(200, 2)));
+    // Entries without a number, or of a restarted worker whose clock was set back.
+    BOOST_TEST(order.accept(at(6200), entry(200, 0)));
+    BOOST_TEST(!order.accept(at(6300), entry(50, 1)));
+    BOOST_TEST(order.accept(at(17000), entry(50, 8)));
+}
+
+// Guards against an order of reports that is not applied to what the store returns.
+BOOST_AUTO_TEST_CASE(an_entry_names_its_report)
+{
+    const auto entry = decode_worker("i-1", entry_with("seq", "12"));
+    BOOST_REQUIRE(entry.has_value());
+    BOOST_TEST(entry->report == 12U);
+    BOOST_TEST(decode_worker("i-1", entry_with("seq", "\"x\""))->report == 0U);
+}
+
 // Guards against a list that is not followed any more since one of its keys is no UTF-8: the whole
 // page was unreadable.
 BOOST_AUTO_TEST_CASE(workers_are_followed_beside_keys_that_are_not_utf8)
