--- a/harness/pool_simulation.cpp
+++ b/harness/pool_simulation.cpp
@@ -537,6 +537,18 @@
             use_processor(index, costs.answer_call);
             on_answer(index, answer->call, answer->answer);
         }
+        else if (const auto* query = std::get_if<actions::answer_query>(&action))
+        {
+            use_processor(index, costs.answer_call);
+            const auto open = m_open_queries.find(query->call);
+            if (open == m_open_queries.end())
+            {
+                add_violation("a query is answered twice");
+                continue;
+            }
+            m_answered_queries.push_back({open->second, m_now, query->result});
+            m_open_queries.erase(open);
+        }
         else if (const auto* message = std::get_if<actions::send_peer>(&action))
         {
             use_processor(index, costs.send_message +
@@ -772,6 +784,19 @@
     return static_cast<std::uint32_t>(std::stoul(record.answer.detail));
 }
 
+void pool_simulation::query_job(std::uint32_t host, const std::string& id, bool cancel)
+{
+    // Calls of jobs have the low bits 0.
+    const auto call =
+        (static_cast<std::uint64_t>(m_open_queries.size() + m_answered_queries.size()) << 8) | 1;
+    m_open_queries[call] = id;
+    call_host(
+        host,
+        [call, id, cancel](pool_host& logic, instant now, action_list& out)
+        { logic.on_job_query(now, call, id, cancel, out); },
+        m_settings.processor.handle_call);
+}
+
 void pool_simulation::disconnect_caller(const std::string& id)
 {
     const auto host = host_of_open_call(id);
--- a/harness/pool_simulation.hpp
+++ b/harness/pool_simulation.hpp
@@ -94,6 +94,16 @@
     void lose_caller_connection(const std::string& id);
     // Resets the connections of all callers whose last call is open at the host.
     void reset_caller_connections(std::uint32_t host);
+    // Asks a host for a job, or to cancel it, as a caller does. The jobs in `answered_queries()`
+    // are in the order of the answers.
+    void query_job(std::uint32_t host, const std::string& id, bool cancel);
+    struct answered_query
+    {
+        std::string job;
+        microseconds answered{0};
+        pool::job_query_result result = pool::job_query_result::unknown;
+    };
+    const std::vector<answered_query>& answered_queries() const { return m_answered_queries; }
     // Makes every task of the job that starts from now on fail.
     void make_job_fail(const std::string& id) { m_failing_jobs.insert(id); }
 
@@ -327,6 +337,8 @@
     // The capacity that a worker had before it shrank, and until when that counts.
     std::map<std::string, std::pair<microseconds, pool::resources>> m_former_capacity;
     std::vector<call_record> m_calls;
+    std::map<std::uint64_t, std::string> m_open_queries; // call -> job
+    std::vector<answered_query> m_answered_queries;
     std::vector<std::string> m_violations;
     std::size_t m_starts = 0;
     double m_unanswered_share = 0;
--- a/src/io/edge_metrics.cpp
+++ b/src/io/edge_metrics.cpp
@@ -84,6 +84,18 @@
     host_count_row{"heartbeats_with_hosts", &pool::membership::totals::heartbeats_with_hosts},
     host_count_row{"returned_hosts", &pool::membership::totals::returned_hosts}};
 
+struct query_count_row
+{
+    const char* kind;
+    std::uint64_t pool::job_queries::totals::*value;
+};
+constexpr std::array query_count_rows{
+    query_count_row{"job_queries", &pool::job_queries::totals::job_queries},
+    query_count_row{"job_queries_found", &pool::job_queries::totals::job_queries_found},
+    query_count_row{"job_queries_gone", &pool::job_queries::totals::job_queries_gone},
+    query_count_row{"job_queries_unknown", &pool::job_queries::totals::job_queries_unknown},
+    query_count_row{"job_queries_rejected", &pool::job_queries::totals::job_queries_rejected}};
+
 struct process_count_row
 {
     const char* kind;
@@ -221,6 +233,7 @@
     add(call_count_rows);
     add(pool_count_rows);
     add(host_count_rows);
+    add(query_count_rows);
     add(process_count_rows);
 }
 
@@ -253,6 +266,7 @@
     update_counters(call_count_rows, host.calls().counts());
     update_counters(pool_count_rows, host.workers().counts());
     update_counters(host_count_rows, host.hosts().counts());
+    update_counters(query_count_rows, host.queries().counts());
     update_counters(process_count_rows, process);
     return prometheus::TextSerializer().Serialize(m_instruments->registry.Collect());
 }
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -24,7 +24,9 @@
               return own_settings;
           }(),
           m_membership, m_pool, m_started),
-      m_config_fetcher(m_settings.config), m_delay(m_settings.delay)
+      m_config_fetcher(m_settings.config),
+      m_queries(m_settings.queries, m_settings.membership.self.incarnation),
+      m_delay(m_settings.delay)
 {
     m_pool.set_visibility(
         [this](const caller_ref& caller)
@@ -135,6 +137,7 @@
     cancel_silent_callers(now, out);
     m_pool.tick(now.steady, out);
     m_call_router.tick(now.steady, out);
+    m_queries.tick(now.steady, out);
     if (now.steady >= m_next_assignment)
     {
         m_next_assignment = now.steady + m_settings.assignment_interval;
@@ -334,6 +337,14 @@
 void pool_host::on_job(instant now, std::uint64_t call, job_request job, action_list& out)
 {
     run_overdue_timers(now, out);
+    if (m_queries.cancel_requested(now.steady, job.id))
+    {
+        out.push_back(actions::log_event{true, "event=answered job=" + job.id +
+                                                   " route=" + job.terms.route +
+                                                   " outcome=cancelled pool=none"});
+        out.push_back(actions::answer_call{call, {answer_kind::cancelled, {}, "taken back"}});
+        return set_senders(out);
+    }
     if (too_large(job))
     {
         const auto answer = m_call_router.checked_answer(now.steady, job.id, false,
@@ -354,16 +365,58 @@
 void pool_host::on_caller_disconnected(instant now, std::uint64_t call, action_list& out)
 {
     m_call_router.on_caller_disconnected(now.steady, call, out);
+    m_queries.on_caller_disconnected(call);
     forward_results(now, out);
     set_senders(out);
 }
 
-bool pool_host::on_cancel(instant now, const std::string& job, action_list& out)
+void pool_host::on_job_query(instant now, std::uint64_t call, const std::string& job, bool cancel,
+                             action_list& out)
 {
-    const bool known = m_call_router.cancel(now.steady, job, out);
+    run_overdue_timers(now, out);
+    const bool found =
+        cancel ? cancel_job(now, job, out) : m_call_router.has_job(job) || m_pool.has_job(job);
+    if (!found)
+        m_queries.begin(now.steady, call, job, cancel, m_membership, out);
+    else
+    {
+        if (cancel)
+            m_queries.announce_cancel(job, m_membership, out);
+        out.push_back(actions::answer_query{call, job_query_result::found, {}});
+    }
     forward_results(now, out);
     set_senders(out);
-    return known;
+}
+
+bool pool_host::cancel_job(instant now, const std::string& job, action_list& out)
+{
+    const bool cancelled = m_call_router.cancel(now.steady, job, out);
+    m_pool.cancel_job(now.steady, job, out);
+    m_queries.record_cancel(now.steady, job, cancelled);
+    return m_queries.cancelled_here(now.steady, job);
+}
+
+void pool_host::on_peer_query(instant now, const host_ref& from, const wire::PoolJobQuery& message,
+                              action_list& out)
+{
+    constexpr std::uint32_t absent = 0;
+    constexpr std::uint32_t present = 1;
+    constexpr std::uint32_t cancelled = 2;
+    std::uint32_t state = absent;
+    if (message.cancel())
+    {
+        // Only the host that serves the caller confirms a cancel: while that host is out of reach,
+        // it may still offer the job to other pools.
+        if (cancel_job(now, message.id(), out))
+            state = cancelled;
+    }
+    else if (m_call_router.has_job(message.id()) || m_pool.has_job(message.id()))
+        state = present;
+    actions::send_peer reply{from.name, {}};
+    auto& answer = *reply.message.mutable_pool_job_state();
+    answer.set_query(message.query());
+    answer.set_state(state);
+    out.push_back(std::move(reply));
 }
 
 void pool_host::on_worker(instant now, std::uint64_t request, const worker_reply& reply,
@@ -416,6 +469,17 @@
     const caller_ref caller{from.name, from.incarnation, message.offer()};
     const std::vector<std::string> former(message.former_workers().begin(),
                                           message.former_workers().end());
+    if (m_queries.cancel_requested(now.steady, message.id()))
+    {
+        m_pool.cancel_job(now.steady, message.id(), out);
+        actions::send_peer reply{from.name, {}};
+        auto& result = *reply.message.mutable_pool_result();
+        result.set_offer(message.offer());
+        result.set_id(message.id());
+        result.set_kind(static_cast<std::uint32_t>(answer_kind::cancelled));
+        result.set_detail("taken back");
+        return out.push_back(std::move(reply));
+    }
     const bool cleared = m_pool.cleared(former);
     const bool caller_receives_heartbeats = m_membership.receives_heartbeats(from, now.steady);
     // An offer that arrives after a heartbeat sent later came over another connection. It may have
@@ -536,6 +600,12 @@
     case wire::PeerMessage::kPoolConfigRequest:
         on_config_request(now, from, message.pool_config_request(), out);
         break;
+    case wire::PeerMessage::kPoolJobQuery:
+        on_peer_query(now, from, message.pool_job_query(), out);
+        break;
+    case wire::PeerMessage::kPoolJobState:
+        m_queries.on_state(from, message.pool_job_state(), out);
+        break;
     default:
         break;
     }
@@ -558,6 +628,7 @@
 void pool_host::end_calls(instant now, action_list& out)
 {
     m_call_router.end_calls(now.steady, out);
+    m_queries.end_all(out);
     forward_results(now, out);
     set_senders(out);
 }
@@ -581,7 +652,7 @@
 
 bool pool_host::stopped() const
 {
-    return m_leaving && m_call_router.idle() && m_pool.quiet();
+    return m_leaving && m_call_router.idle() && m_queries.idle() && m_pool.quiet();
 }
 
 bool pool_host::ready(instant now) const
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -13,6 +13,7 @@
 
 #include "pool/call_router.hpp"
 #include "pool/config_fetcher.hpp"
+#include "pool/job_queries.hpp"
 #include "pool/processing_delay.hpp"
 #include "pool/routes.hpp"
 #include "pool/unread_workers.hpp"
@@ -29,6 +30,7 @@
     worker_assignment_settings assignment;
     started_jobs_settings started;
     config_fetcher_settings config;
+    job_queries_settings queries;
     processing_delay_settings delay;
     // A group of workers that is handed over has this long to become idle; then another group is
     // chosen, after a pause in which the effect of the last one shows.
@@ -100,8 +102,11 @@
     // Processes a caller's job. `call` identifies the call in its answer_call action.
     void on_job(instant now, std::uint64_t call, job_request job, action_list& out);
     void on_caller_disconnected(instant now, std::uint64_t call, action_list& out);
-    // Cancels a caller's job. Returns false if the job is not known here.
-    bool on_cancel(instant now, const std::string& job, action_list& out);
+    // Processes a caller's question whether the job is open, or its request to cancel the job. The
+    // call is answered by an answer_query action, at once if this host has the job, else by what
+    // the other hosts say.
+    void on_job_query(instant now, std::uint64_t call, const std::string& job, bool cancel,
+                      action_list& out);
     // Processes a worker's answer to the order `request`.
     void on_worker(instant now, std::uint64_t request, const worker_reply& reply, action_list& out);
     // Processes a message from a peer. If it contains a published configuration newer than the one
@@ -128,6 +133,7 @@
     const call_router& calls() const { return m_call_router; }
     const membership& hosts() const { return m_membership; }
     const started_jobs& started() const { return m_started; }
+    const job_queries& queries() const { return m_queries; }
     const processing_delay& delay() const { return m_delay; }
 
 private:
@@ -153,6 +159,13 @@
     void cancel_silent_callers(instant now, action_list& out);
     void on_pool_job(instant now, const host_ref& from, const wire::PoolJob& message,
                      action_list& out);
+    // Cancels the job of a caller of this host. Also stops what this host's pool has of the job for
+    // another host's caller, and prevents that the job is accepted here again. Returns true if the
+    // caller's job was cancelled, now or lately.
+    bool cancel_job(instant now, const std::string& job, action_list& out);
+    // Answers a peer's query for a job.
+    void on_peer_query(instant now, const host_ref& from, const wire::PoolJobQuery& message,
+                       action_list& out);
     // Requests a newer configuration from a peer if one is due; see config_fetcher.
     void request_config(instant now, action_list& out);
     // Answers a peer's request if this host's configuration is newer.
@@ -179,6 +192,7 @@
     call_router m_call_router;
     unread_workers m_unread;
     config_fetcher m_config_fetcher;
+    job_queries m_queries;
     processing_delay m_delay;
     std::vector<std::string> m_handover; // the workers that are being handed over
     microseconds m_handover_until{0};
--- a/src/pool/pool_types.cpp
+++ b/src/pool/pool_types.cpp
@@ -14,4 +14,9 @@
     return boost::describe::enum_to_string(value, "unknown");
 }
 
+std::string_view name_of(job_query_result value)
+{
+    return boost::describe::enum_to_string(value, "unknown");
+}
+
 } // namespace egretledge::pool
--- a/src/pool/pool_types.hpp
+++ b/src/pool/pool_types.hpp
@@ -190,6 +190,16 @@
     std::string detail;
 };
 
+// What a caller's GET or DELETE of a job has found.
+enum class job_query_result : std::uint8_t
+{
+    found,  // the job is open at some host; for a cancel: some host has cancelled it
+    gone,   // no host has the job
+    unknown // some host may have it
+};
+BOOST_DESCRIBE_ENUM(job_query_result, found, gone, unknown)
+std::string_view name_of(job_query_result value);
+
 namespace actions
 {
 
@@ -199,6 +209,14 @@
     call_answer answer;
 };
 
+// Answers a caller's query for a job that this host does not serve.
+struct answer_query
+{
+    std::uint64_t call = 0;
+    job_query_result result = job_query_result::unknown;
+    milliseconds retry_after{0}; // delay advised to the caller; 0: none
+};
+
 struct send_peer
 {
     std::string host;
@@ -262,9 +280,9 @@
 
 } // namespace actions
 
-using action =
-    std::variant<actions::answer_call, actions::send_peer, actions::set_peer_address,
-                 actions::hold_worker, actions::start_run, actions::stop_run, actions::log_event>;
+using action = std::variant<actions::answer_call, actions::answer_query, actions::send_peer,
+                            actions::set_peer_address, actions::hold_worker, actions::start_run,
+                            actions::stop_run, actions::log_event>;
 using action_list = std::vector<action>;
 
 } // namespace egretledge::pool
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -586,6 +586,13 @@
                {answer_kind::cancelled, {}, "nobody waits for it any more"}, false, out);
 }
 
+void worker_pool::cancel_job(microseconds now, const std::string& id, action_list& out)
+{
+    const auto job = m_jobs.find(id);
+    if (job != m_jobs.end())
+        finish(now, job->second, {answer_kind::cancelled, {}, "taken back"}, false, out);
+}
+
 void worker_pool::cancel_earlier(microseconds now, const std::string& id, const caller_ref& caller,
                                  action_list& out)
 {
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -117,6 +117,8 @@
     // Cancels the job that this offer submitted and stops its runs. Has no effect if a later offer
     // has submitted the job again.
     void cancel(microseconds now, const caller_ref& caller, action_list& out);
+    // Cancels the job, whichever offer submitted it, and stops its runs.
+    void cancel_job(microseconds now, const std::string& job, action_list& out);
     // Cancels the job if it was submitted by an earlier offer of the same call router.
     void cancel_earlier(microseconds now, const std::string& job, const caller_ref& caller,
                         action_list& out);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -244,6 +244,21 @@
     BOOST_TEST(host.caller_status("POST", target, std::string(1000, ' ')) == 400U); // not a job
 }
 
+// Guards against a query that no other host can answer and that stays open: this host knows no
+// other one, and says that the job is gone once it would know them.
+BOOST_AUTO_TEST_CASE(a_job_that_no_host_has_is_answered_as_gone)
+{
+    const running_host host(config_with_body_limit);
+    BOOST_REQUIRE(host.serves());
+    const std::string target = "/q/5c0e7a21d94b36f8";
+    constexpr int tries = 250;
+    for (int i = 0; i < tries && host.caller_status("DELETE", target) == 503U; ++i)
+        std::this_thread::sleep_for(milliseconds{20});
+    BOOST_TEST(host.caller_status("DELETE", target) == 410U);
+    BOOST_TEST(host.caller_status("GET", target) == 410U);
+    BOOST_TEST(host.caller_status("PUT", target) == 405U);
+}
+
 // Guards against callers that leave before their answer and are never released: after 3,000 of them
 // a host closed every new connection unread, and said that it was ready.
 BOOST_AUTO_TEST_CASE(callers_that_leave_early_are_released)
