--- a/src/io/edge_metrics.cpp
+++ b/src/io/edge_metrics.cpp
@@ -106,6 +106,7 @@
     process_count_row{"worker_connections_opened", &process_counts::worker_connections_opened},
     process_count_row{"worker_requests_failed", &process_counts::worker_requests_failed},
     process_count_row{"store_calls", &process_counts::store_calls},
+    process_count_row{"host_records_removed", &process_counts::host_records_removed},
     process_count_row{"peer_messages_dropped", &process_counts::peer_messages_dropped},
     process_count_row{"log_lines_dropped", &process_counts::log_lines_dropped},
     process_count_row{"peer_heartbeats_superseded", &process_counts::peer_heartbeats_superseded},
--- a/src/io/edge_metrics.hpp
+++ b/src/io/edge_metrics.hpp
@@ -46,6 +46,7 @@
     std::uint64_t processor_us = 0;            // processor time used
     std::uint64_t worker_connections_opened = 0;
     std::uint64_t worker_requests_failed = 0; // without a whole reply
+    std::uint64_t host_records_removed = 0;   // of replaced hosts, from the store
 };
 
 class edge_metrics
--- a/src/pool/membership.cpp
+++ b/src/pool/membership.cpp
@@ -18,22 +18,29 @@
 
 membership::membership(membership_settings settings) : m_settings(std::move(settings)) {}
 
-void membership::introduce(microseconds now, const std::string& name, const std::string& address,
+bool membership::introduce(microseconds now, const std::string& name, const std::string& address,
                            action_list& out)
 {
     if (name == m_settings.self.name || address == m_settings.address || address.empty())
-        return;
+        return true;
     // A heartbeat of a host that has just started lists all hosts, and most are known.
     const auto same = m_peers.find(name);
     if (same != m_peers.end() && same->second.address == address)
-        return;
+        return true;
+    std::size_t unheard = 0;
     for (const auto& [known, host] : m_peers)
+    {
         if (host.address == address && known != name && host.last_heard.count() >= 0)
-            return;
+            return true;
+        unheard += host.last_heard.count() < 0 ? 1 : 0;
+    }
+    if (same == m_peers.end() && unheard >= m_settings.max_unheard_hosts)
+        return false;
     auto& host = m_peers[name];
     host.address = address;
     host.introduced_at = now;
     out.push_back(actions::set_peer_address{name, address});
+    return true;
 }
 
 microseconds membership::sent_at(std::uint64_t sequence) const
@@ -80,8 +87,8 @@
             out.push_back(actions::log_event{
                 true, "event=peer_silent peer=" + here->first +
                           " silent_ms=" + std::to_string((now - host.last_heard).count() / 1000)});
-        if (silent && host.last_heard.count() >= 0 &&
-            now - host.last_heard > m_settings.forget_timeout)
+        if (silent &&
+            now - std::max(host.introduced_at, host.last_heard) > m_settings.forget_timeout)
         {
             m_silence_logged.erase(here->first);
             out.push_back(actions::set_peer_address{here->first, {}});
--- a/src/pool/membership.hpp
+++ b/src/pool/membership.hpp
@@ -60,8 +60,12 @@
     // A settled host announces this at once, and acquires workers only after this delay, when its
     // peers have received the announcement: a round trip plus the delay of a busy host.
     milliseconds settled_announce_delay{80};
-    // A silent peer is removed after this time. introduce() adds it again if the platform lists it.
+    // A silent peer, also one that was never heard, is removed after this time. introduce() adds it
+    // again if the platform lists it.
     milliseconds forget_timeout{30000};
+    // Maximum number of known hosts that were never heard. Each costs a socket, of which the
+    // transport has 1,023, and heartbeats: 1,100 of them took a fifth of a core.
+    std::size_t max_unheard_hosts = 256;
 };
 
 // Load of a host's pool. CPU is in thousandths of a core.
@@ -109,8 +113,9 @@
     explicit membership(membership_settings settings);
 
     // Adds a host that the platform lists or that is configured as a seed. The name of a seed may
-    // be a placeholder; on_heartbeat() replaces it by the host's own name.
-    void introduce(microseconds now, const std::string& name, const std::string& address,
+    // be a placeholder; on_heartbeat() replaces it by the host's own name. Returns false if the
+    // host is not added because `max_unheard_hosts` are known.
+    bool introduce(microseconds now, const std::string& name, const std::string& address,
                    action_list& out);
     // The state of this host that its heartbeats announce.
     struct announcement
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -43,10 +43,10 @@
             egretledge::to_wire(m_settings.membership.self, *message->message.mutable_from());
 }
 
-void pool_host::introduce(instant now, const std::string& name, const std::string& address,
+bool pool_host::introduce(instant now, const std::string& name, const std::string& address,
                           action_list& out)
 {
-    m_membership.introduce(now.steady, name, address, out);
+    return m_membership.introduce(now.steady, name, address, out);
 }
 
 bool pool_host::set_config(instant, route_config_ptr config, action_list& out)
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -88,7 +88,7 @@
     explicit pool_host(pool_host_settings settings);
 
     // Adds a host; see membership::introduce().
-    void introduce(instant now, const std::string& name, const std::string& address,
+    bool introduce(instant now, const std::string& name, const std::string& address,
                    action_list& out);
     // Returns false and ignores the configuration if its version is not newer than the one in
     // force.
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -123,7 +123,8 @@
                              for (const auto& [id, entry] : workers)
                                  ids.insert(id);
                          },
-                         [](const std::string&, const host_record&) {},
+                         [](const std::string&, const host_record&) { return true; },
+                         [](const std::string&) { return std::optional<microseconds>{}; },
                          [](bool, const std::string&) {}, [](microseconds) {}});
     client.start();
     const auto begin = std::chrono::steady_clock::now();
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -98,7 +98,8 @@
     store_client client(store.context, http, settings,
                         {[&](pool::route_config config) { versions.push_back(config.version); },
                          [](pool::worker_registry) {},
-                         [](const std::string&, const host_record&) {},
+                         [](const std::string&, const host_record&) { return true; },
+                         [](const std::string&) { return std::optional<microseconds>{}; },
                          [](bool, const std::string&) {}, [](microseconds) {}});
     client.start();
     const auto begin = std::chrono::steady_clock::now();
