--- a/src/pool/host_capacity.hpp
+++ b/src/pool/host_capacity.hpp
@@ -23,10 +23,10 @@
 struct host_capacity_settings
 {
     host_limits limits;
-    // Processor time in thousandths of a core. 60 workers under load took 140 in all, 80 of it
-    // above the reserve for heartbeats and callers; three times that leaves headroom for bursts.
+    // Processor time in thousandths of a core. A host of half a core that started 1,050 tasks a
+    // second on 88 workers had no time left: 440 above the reserve for heartbeats and callers.
     double processor_reserve = 60;
-    double processor_per_worker = 4;
+    double processor_per_worker = 5;
     // Half of the memory and of the link is left for callers and peers.
     double usable_memory = 0.5;
     double memory_reserve_mb = 40;
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -14,6 +14,7 @@
 #include "pool/call_router.hpp"
 #include "pool/config_fetcher.hpp"
 #include "pool/host_capacity.hpp"
+#include "pool/job_queries.hpp"
 #include "pool/processing_delay.hpp"
 #include "pool/routes.hpp"
 #include "pool/unread_workers.hpp"
@@ -31,6 +32,7 @@
     host_capacity_settings capacity;
     started_jobs_settings started;
     config_fetcher_settings config;
+    job_queries_settings queries;
     processing_delay_settings delay;
     // A group of workers that is handed over has this long to become idle; then another group is
     // chosen, after a pause in which the effect of the last one shows.
@@ -88,7 +90,7 @@
     explicit pool_host(pool_host_settings settings);
 
     // Adds a host; see membership::introduce().
-    void introduce(instant now, const std::string& name, const std::string& address,
+    bool introduce(instant now, const std::string& name, const std::string& address,
                    action_list& out);
     // Returns false and ignores the configuration if its version is not newer than the one in
     // force.
@@ -104,8 +106,11 @@
     // Processes a caller's job. `call` identifies the call in its answer_call action.
     void on_job(instant now, std::uint64_t call, job_request job, action_list& out);
     void on_caller_disconnected(instant now, std::uint64_t call, action_list& out);
-    // Cancels a caller's job. Returns false if the job is not known here.
-    bool on_cancel(instant now, const std::string& job, action_list& out);
+    // Processes a caller's question whether the job is open, or its request to cancel the job. The
+    // call is answered by an answer_query action, at once if this host has the job, else by what
+    // the other hosts say.
+    void on_job_query(instant now, std::uint64_t call, const std::string& job, bool cancel,
+                      action_list& out);
     // Processes a worker's answer to the order `request`.
     void on_worker(instant now, std::uint64_t request, const worker_reply& reply, action_list& out);
     // Processes a message from a peer. If it contains a published configuration newer than the one
@@ -132,6 +137,7 @@
     const call_router& calls() const { return m_call_router; }
     const membership& hosts() const { return m_membership; }
     const started_jobs& started() const { return m_started; }
+    const job_queries& queries() const { return m_queries; }
     const processing_delay& delay() const { return m_delay; }
     // Number of workers that this host can serve; the default maximum if no limit is known.
     std::uint32_t max_workers() const;
@@ -173,6 +179,13 @@
     void cancel_silent_callers(instant now, action_list& out);
     void on_pool_job(instant now, const host_ref& from, const wire::PoolJob& message,
                      action_list& out);
+    // Cancels the job of a caller of this host. Also stops what this host's pool has of the job for
+    // another host's caller, and prevents that the job is accepted here again. Returns true if the
+    // caller's job was cancelled, now or lately.
+    bool cancel_job(instant now, const std::string& job, action_list& out);
+    // Answers a peer's query for a job.
+    void on_peer_query(instant now, const host_ref& from, const wire::PoolJobQuery& message,
+                       action_list& out);
     // Requests a newer configuration from a peer if one is due; see config_fetcher.
     void request_config(instant now, action_list& out);
     // Answers a peer's request if this host's configuration is newer.
@@ -199,6 +212,7 @@
     call_router m_call_router;
     unread_workers m_unread;
     config_fetcher m_config_fetcher;
+    job_queries m_queries;
     processing_delay m_delay;
     host_capacity m_capacity;
     std::uint32_t m_quota = 0;
