Suspect runs on a silent worker later if this process is late

A process that is late handles the answer of a live worker later by its delay. With a processing delay of 100 ms the runs were suspected after 70 ms of silence, before the answer to the repeated hold was handled. Peers that know such a suspicion as cleared do not accept a second one of the same run, so that a crash soon after is not announced until it is confirmed.

Test: a_late_process_suspects_the_runs_of_a_silent_worker_later (failed before, 1 suspicion instead of 0).

--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -275,8 +275,8 @@
     const auto since = record.worker.silent_since();
     if (since.count() == 0)
         record.runs_suspected = false;
-    if (since.count() == 0 || now - since < m_settings.suspicion_delay || record.leaving ||
-        std::exchange(record.runs_suspected, true))
+    if (since.count() == 0 || now - since < m_settings.suspicion_delay + m_processing_delay ||
+        record.leaving || std::exchange(record.runs_suspected, true))
         return;
     const auto runs = record.worker.silent_runs(now);
     for (const auto& run : runs)
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -44,7 +44,8 @@
     milliseconds silence_log_delay{500};
     // The runs on a worker that has not answered for this long are announced as suspicions. Their
     // leases end half a second later; a host that is paused or dies by then would take along what
-    // it saw. A live worker answers the hold that is repeated after 60 ms within 3 ms.
+    // it saw. A live worker answers the hold that is repeated after 60 ms within 3 ms. A process
+    // that is late handles that answer later by its delay, which is added.
     milliseconds suspicion_delay{70};
     // No task is started for this long on a worker that has reported itself unhealthy.
     milliseconds unhealthy_pause{300};
@@ -247,7 +248,8 @@
     };
 
     // Records, once a silence, a suspicion for each run on a worker that has been silent for
-    // `suspicion_delay`. The worker's next answer clears or confirms it.
+    // `suspicion_delay` and the delay of this process. The worker's next answer clears or confirms
+    // it.
     void suspect_silent_runs(microseconds now, const std::string& worker, worker_record& record,
                              action_list& out);
     void log_silence(microseconds now, const std::string& worker, worker_record& record,
@@ -365,7 +367,7 @@
     run_times m_run_times;
     crash_record m_crashes;
     evacuations m_evacuations;
-    resources m_usual_demand; // of the most recently placed task
+    resources m_usual_demand;            // of the most recently placed task
     std::int64_t m_largest_free_cpu = 0; // on one worker that accepts tasks, in place()
     std::vector<pool_result> m_results;
     microseconds m_late_jobs_served_at{0}; // when last no late job was left waiting for capacity
--- a/tests/pool_overload_test.cpp
+++ b/tests/pool_overload_test.cpp
@@ -167,6 +167,54 @@
     BOOST_TEST(stops() == 2);
 }
 
+// Guards against a late host that announces suspicions of runs on live workers, whose answers wait
+// to be handled: peers do not accept a second suspicion of a run once the first was cleared.
+BOOST_AUTO_TEST_CASE(a_late_process_suspects_the_runs_of_a_silent_worker_later)
+{
+    worker_pool pool({}, 9);
+    pool.set_processing_delay(100ms);
+    action_list out;
+    pool.acquire({at_ms(1), 1000ms}, make_registry(1).begin()->second, out);
+    worker_reply accepted;
+    accepted.result = order_result::accepted;
+    accepted.clock_ms = 5000;
+    accepted.start_time_ms = 7;
+    pool.on_worker_reply(at_ms(2), std::get<actions::hold_worker>(out.at(0)).request, accepted,
+                         out);
+    job_request job;
+    job.id = "job";
+    job.terms = {"r", "desk", 0, 3, 8.0, 2000ms, 9000ms};
+    job.steps.resize(1);
+    job.steps[0] = {1, usual_task, 900ms, {}, {}, {}, 0};
+    pool.submit(at_ms(3), job, {{}, 0, 1}, 0ms, out);
+    bool started = false;
+    std::uint64_t hold = 0;
+    for (const auto& action : std::exchange(out, {}))
+    {
+        if (const auto* start = std::get_if<actions::start_run>(&action))
+            started = pool.on_worker_reply(at_ms(4), start->request, accepted, out);
+        if (const auto* sent = std::get_if<actions::hold_worker>(&action))
+            hold = sent->request;
+    }
+    BOOST_REQUIRE(started);
+    pool.on_worker_reply(at_ms(100), hold, {}, out); // no answer
+    const auto suspicions = [&]
+    {
+        return std::count_if(out.begin(), out.end(),
+                             [](const action& logged)
+                             {
+                                 const auto* line = std::get_if<actions::log_event>(&logged);
+                                 return line != nullptr &&
+                                        line->text.starts_with("event=runs_suspected");
+                             });
+    };
+    const auto delay = worker_pool_settings{}.suspicion_delay + 100ms;
+    pool.tick(at_ms(100) + delay - 1ms, out);
+    BOOST_TEST(suspicions() == 0);
+    pool.tick(at_ms(100) + delay, out);
+    BOOST_TEST(suspicions() == 1);
+}
+
 // Guards against a pool that is preferred by callers' hosts although it handles their jobs late.
 BOOST_AUTO_TEST_CASE(the_announced_wait_includes_the_delay_of_the_process)
 {
