--- a/src/pool/evacuations.cpp
+++ b/src/pool/evacuations.cpp
@@ -1,3 +1,7 @@
+// A state of a lower revision is ignored, so that late heartbeats undo nothing. Each request is in
+// force for jobs that have not begun as soon as it is known, and for the others `grace()` later;
+// further states that contain it do not extend that time.
+
 #include "pool/evacuations.hpp"
 #include <algorithm>
 
@@ -91,7 +95,7 @@
         out.push_back(actions::log_event{
             true, "event=evacuations_unknown waited_ms=" +
                       std::to_string((now - m_began).count() / 1000) +
-                      " reason=\"neither the store nor a peer has told the state\""});
+                      " reason=\"no state was received from the store or a peer\""});
     for (const auto& [data_centre, former] : std::exchange(m_taken_back, {}))
         log("taken_back", data_centre, now - former.learned, out);
     for (auto& [data_centre, current] : m_requests)
--- a/src/pool/host_capacity.cpp
+++ b/src/pool/host_capacity.cpp
@@ -1,3 +1,8 @@
+// Each limit, less a reserve, is divided by what one worker takes of it; the smallest result
+// counts. While the host is overloaded, the number follows what it holds downwards in steps. Each
+// lower number is kept for a period and then raised slowly, so that the workers which were handed
+// over do not return at once and overload the host again.
+
 #include "pool/host_capacity.hpp"
 #include <algorithm>
 #include <cmath>
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -13,6 +13,10 @@
 // no other run down with it, and so that a task that only shared a worker with a deadly one is
 // cleared by its next run. If no worker is idle, one is reserved for it: the trade-off is the
 // capacity that is left unused while the runs on it end, hence the limit on reserved workers.
+//
+// No task is placed on a worker of an evacuated data centre, except that jobs which have begun may
+// start their other tasks there for a short time. Jobs that could only run there do not wait: those
+// that have not begun are declined, and the others end as lost, so that other pools run them.
 
 #include "pool/worker_pool.hpp"
 #include <algorithm>
