Quotas of a data centre short of surplus follow capacity again

With less capacity than the surplus of 1.5 asks for, but enough for the workers, each quota was the host's whole capacity. A takeover then filled the first hosts to the brim, and they handed workers over as soon as a lost host returned. Quotas are now in proportion there too; only a data centre with fewer places than workers uses all of them.

--- a/src/pool/worker_assignment.cpp
+++ b/src/pool/worker_assignment.cpp
@@ -229,16 +229,12 @@
         while (count < order.size() && static_cast<double>(capacity) < needed)
             capacity += m_hosts[order[count++]].capacity;
         order.resize(count);
-        const bool short_of_capacity = static_cast<double>(capacity) < needed;
         for (const auto i : order)
         {
             auto& item = m_hosts[i];
             // Rounded up, so that the quotas add up to at least the number of workers.
             const auto share = (workers * item.capacity + capacity - 1) / capacity;
-            item.quota =
-                short_of_capacity
-                    ? item.capacity
-                    : static_cast<std::uint32_t>(std::min<std::uint64_t>(share, item.capacity));
+            item.quota = static_cast<std::uint32_t>(std::min<std::uint64_t>(share, item.capacity));
         }
     }
 
