Hosts without workers exchange heartbeats every 500 ms

Cause: each host sent every peer a heartbeat every 125 ms, whatever both did, and weak hosts spent their processors on it. Two hosts that hold no workers need each other's heartbeats only for started jobs, configuration versions and counts of hosts.

Change: two such hosts that both announce max_workers, are settled, not leaving and not overloaded, have no job with each other and have been alive for 3 s announce interval_ms = 500. A host uses the interval once the peer has echoed the announcement and announces it too, so that the peer's timeout has grown before heartbeats become fewer. The timeouts of alive() and may_be_alive() grow by the announced interval less the default one; the announced interval counts as 1,000 ms at most. The time within which a caller's host must echo stays 700 ms: a host that ends the interval is sent a heartbeat as soon as its own is handled, before any offer. An early round goes to all hosts and is repeated every 125 ms until it is echoed. A host whose slow heartbeat is overdue by 125 ms is sent one that asks for an answer, so that a single lost heartbeat makes no living host silent. Slow heartbeats are spread over four rounds by a hash of the pair. Own heartbeats are remembered for 8 s also after many early rounds.

--- a/src/pool/call_router.cpp
+++ b/src/pool/call_router.cpp
@@ -183,6 +183,15 @@
     return best;
 }
 
+std::set<std::string> call_router::pools_in_use() const
+{
+    std::set<std::string> pools;
+    for (const auto& [number, call] : m_calls)
+        if (!call.pool.empty())
+            pools.insert(call.pool);
+    return pools;
+}
+
 bool call_router::can_place(microseconds now) const
 {
     return choose_pool(now, open_call{}).has_value();
--- a/src/pool/call_router.hpp
+++ b/src/pool/call_router.hpp
@@ -82,6 +82,8 @@
     void close_local_pool() { m_local_pool_closed = true; }
     bool idle() const { return m_calls.empty(); }
     std::size_t open_calls() const { return m_calls.size(); }
+    // Returns the names of the other hosts to whose pools open calls were offered last.
+    std::set<std::string> pools_in_use() const;
     bool has_job(const std::string& job) const { return m_by_job.contains(job); }
 
     struct totals
--- a/src/pool/membership.cpp
+++ b/src/pool/membership.cpp
@@ -2,6 +2,7 @@
 #include "core/wire.hpp"
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace egretledge::pool
 {
@@ -11,8 +12,22 @@
 
 // A longer gap between two ticks means that this process was paused.
 constexpr milliseconds pause_threshold{250};
-// 8 s of own heartbeats, longer than any timeout on echoes.
-constexpr std::size_t max_sent_heartbeats = 64;
+// 8 s of own heartbeats at the default interval, longer than any timeout on echoes.
+constexpr std::size_t min_sent_heartbeats = 64;
+// Early heartbeats are kept for as long: an echo at the longer interval is more than a second old.
+constexpr milliseconds sent_retention{8000};
+// Bounds the memory if all hosts are answered at once.
+constexpr std::size_t max_sent_heartbeats = 2048;
+
+// FNV-1a, the same on every machine.
+std::uint32_t hash_pair(const std::string& from, const std::string& to)
+{
+    std::uint32_t hash = 2166136261U;
+    for (const auto* text : {&from, &to})
+        for (const char letter : *text + '\n')
+            hash = (hash ^ static_cast<unsigned char>(letter)) * 16777619U;
+    return hash ^ (hash >> 16U);
+}
 
 } // namespace
 
@@ -50,10 +65,104 @@
 
 microseconds membership::sent_at(std::uint64_t sequence) const
 {
-    for (const auto& [number, when] : m_sent)
-        if (number == sequence)
-            return when;
-    return microseconds{-1};
+    // The sequence numbers in m_sent are contiguous.
+    if (m_sent.empty() || sequence < m_sent.front().first || sequence > m_sent.back().first)
+        return microseconds{-1};
+    return m_sent[static_cast<std::size_t>(sequence - m_sent.front().first)].second;
+}
+
+void membership::begin_heartbeats(microseconds now)
+{
+    ++m_sequence;
+    m_sent.emplace_back(m_sequence, now);
+    while (m_sent.size() > max_sent_heartbeats ||
+           (m_sent.size() > min_sent_heartbeats && now - m_sent.front().second > sent_retention))
+        m_sent.pop_front();
+}
+
+milliseconds membership::timeout_of(const peer& host) const
+{
+    return m_settings.dead_timeout +
+           std::max(milliseconds{0}, host.interval - m_settings.heartbeat_interval);
+}
+
+bool membership::may_slow_down(microseconds now, const peer& host,
+                               const announcement& own_state) const
+{
+    const bool idle = own_state.held.empty() && own_state.open_jobs == 0 && host.held_count == 0 &&
+                      host.held.empty() && host.announced_version == host.held_version &&
+                      host.echoed_held == own_state.held_version && host.withdrawn.empty() &&
+                      !own_state.pools_in_use.contains(host.ref.name);
+    const bool calm =
+        !own_state.leaving && !host.leaving && !own_state.overloaded && !host.overloaded;
+    return own_state.max_workers > 0 && host.max_workers > 0 && idle && calm && settled(now) &&
+           host.settled && now >= host.not_slow_until &&
+           now - std::max(host.last_heard, m_listening_since) < timeout_of(host) &&
+           now - std::max(host.alive_since, m_listening_since) >= m_settings.slow_heartbeat_delay;
+}
+
+void membership::update_interval(microseconds now, peer& host, const announcement& own_state,
+                                 bool restart) const
+{
+    if (!may_slow_down(now, host, own_state))
+    {
+        host.slow_announced_at = microseconds{-1};
+        host.slow = false;
+        return;
+    }
+    if (host.slow_announced_at.count() < 0 || restart)
+        host.slow_announced_at = now;
+    host.slow =
+        host.echo_sent >= host.slow_announced_at && host.interval > m_settings.heartbeat_interval;
+}
+
+bool membership::due_in_round(const std::string& name, const peer& host) const
+{
+    const auto rounds = static_cast<std::uint64_t>(m_settings.slow_heartbeat_interval /
+                                                   m_settings.heartbeat_interval);
+    return !host.slow || rounds < 2 ||
+           (m_totals.heartbeat_rounds + hash_pair(m_settings.self.name, name)) % rounds == 0;
+}
+
+void membership::send_single(microseconds now, peer& to,
+                             const std::function<announcement()>& announce, action_list& out)
+{
+    begin_heartbeats(now);
+    const auto own_state = announce();
+    update_interval(now, to, own_state, true);
+    send_heartbeat(now, to, own_state, out);
+}
+
+void membership::probe_overdue_peers(microseconds now,
+                                     const std::function<announcement()>& announce,
+                                     action_list& out)
+{
+    for (auto& [name, host] : m_peers)
+    {
+        if (host.slow_announced_at.count() < 0 || host.interval <= m_settings.heartbeat_interval ||
+            now - std::max(host.last_heard, m_listening_since) <
+                host.interval + m_settings.heartbeat_interval)
+            continue;
+        host.not_slow_until = now + m_settings.slow_heartbeat_delay;
+        host.slow_announced_at = microseconds{-1};
+        host.slow = false;
+        if (is_prompt())
+            send_single(now, host, announce, out);
+    }
+}
+
+void membership::answer(microseconds now, const std::string& name,
+                        const std::function<announcement()>& announce, action_list& out)
+{
+    const auto found = m_peers.find(name);
+    if (found != m_peers.end() && std::exchange(found->second.answer_due, false) && is_prompt())
+        send_single(now, found->second, announce, out);
+}
+
+std::size_t membership::count_slow_peers() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_peers.begin(), m_peers.end(), [](const auto& item) { return item.second.slow; }));
 }
 
 void membership::tick(microseconds now, const std::function<announcement()>& announce,
@@ -69,17 +178,15 @@
         m_settled_at = now;
         expedite_heartbeats();
     }
-    const bool may_send_early = m_handling_delay <= m_settings.max_prompt_delay;
-    if (now < (may_send_early ? m_next_round : m_last_round + m_settings.heartbeat_interval))
+    probe_overdue_peers(now, announce, out);
+    if (now < (is_prompt() ? m_next_round : m_last_round + m_settings.heartbeat_interval))
         return;
+    const bool expedited = std::exchange(m_expedited, false);
     m_next_round = now + m_settings.heartbeat_interval;
     ++m_totals.heartbeat_rounds;
     m_totals.expedited_rounds += now - m_last_round < m_settings.heartbeat_interval ? 1 : 0;
     m_last_round = now;
-    ++m_sequence;
-    m_sent.emplace_back(m_sequence, now);
-    if (m_sent.size() > max_sent_heartbeats)
-        m_sent.pop_front();
+    begin_heartbeats(now);
     const auto own_state = announce();
     std::erase_if(m_past_incarnations, [&](const auto& item)
                   { return now - item.second.last_heard > m_settings.forget_timeout; });
@@ -100,7 +207,8 @@
             remove_peer(here);
             continue;
         }
-        if (now < host.next_heartbeat)
+        update_interval(now, host, own_state, expedited);
+        if (now < host.next_heartbeat || !due_in_round(here->first, host))
             continue;
         const bool eager =
             now - std::max(host.introduced_at, host.last_heard) < m_settings.eager_period;
@@ -124,6 +232,9 @@
     heartbeat.set_overloaded(own_state.overloaded);
     heartbeat.set_max_workers(own_state.max_workers);
     heartbeat.set_settled(settled(now));
+    if (to.slow_announced_at.count() >= 0)
+        heartbeat.set_interval_ms(
+            static_cast<std::uint32_t>(m_settings.slow_heartbeat_interval.count()));
     const bool lists_hosts = now - to.alive_since < m_settings.min_settle_time * 2;
     ++m_totals.heartbeats;
     m_totals.heartbeats_with_hosts += lists_hosts ? 1 : 0;
@@ -219,6 +330,14 @@
     host.leaving = heartbeat.leaving();
     host.overloaded = heartbeat.overloaded();
     host.max_workers = heartbeat.max_workers();
+    host.interval = std::clamp(milliseconds{heartbeat.interval_ms()}, m_settings.heartbeat_interval,
+                               m_settings.max_announced_interval);
+    if (host.slow && host.interval == m_settings.heartbeat_interval)
+    {
+        host.slow = false;
+        host.slow_announced_at = microseconds{-1};
+        host.answer_due = true;
+    }
     host.config_version = heartbeat.config_version();
     host.load = {static_cast<std::int64_t>(heartbeat.free_cpu()),
                  static_cast<std::int64_t>(heartbeat.total_cpu()),
@@ -294,7 +413,7 @@
     if (host == nullptr || host->last_heard.count() < 0)
         return false;
     const auto since = std::max(host->last_heard, m_listening_since);
-    return now - since < m_settings.dead_timeout;
+    return now - since < timeout_of(*host);
 }
 
 std::size_t membership::count_alive(microseconds now) const
@@ -309,7 +428,7 @@
     if (host == nullptr || host->last_heard.count() < 0)
         return false;
     const auto since = std::max(host->last_heard, m_listening_since);
-    return now - since < m_settings.dead_timeout * (host->overloaded ? 2 : 1) + m_handling_delay;
+    return now - since < timeout_of(*host) * (host->overloaded ? 2 : 1) + m_handling_delay;
 }
 
 bool membership::settled(microseconds now) const
--- a/src/pool/membership.hpp
+++ b/src/pool/membership.hpp
@@ -12,6 +12,12 @@
 // listed them has been echoed. A pool keeps a job only while new heartbeats of the caller's host
 // arrive, and each of these carries the withdrawal. After `max_withdrawal_age` a pool that has
 // heard none of them has cancelled the job by itself.
+//
+// Two hosts that hold no workers and announce how many they can serve exchange heartbeats at a
+// longer interval. A host announces the longer interval first, in heartbeats at the default one,
+// and uses it only while the peer has echoed the announcement and announces it too. The peer's
+// timeout thus grows before the heartbeats become fewer, and a host that ends the longer interval
+// makes the peer end it with the next heartbeat.
 
 #include "pool/crash_record.hpp"
 #include "pool/evacuations.hpp"
@@ -29,6 +35,13 @@
     std::string data_centre;
     std::string address; // where this host listens for peers
     milliseconds heartbeat_interval{125};
+    // Interval between two hosts without workers, which need each other's heartbeats only for
+    // started jobs, configuration versions and counts of hosts. A caller retries after 1.3 s.
+    milliseconds slow_heartbeat_interval{500};
+    // Both hosts must have been alive for each other for this long.
+    milliseconds slow_heartbeat_delay{3000};
+    // A longer announced interval counts as this one.
+    milliseconds max_announced_interval{1000};
     // A host that was silent for this long counts as dead: three lost heartbeats plus the delay of
     // a busy host.
     milliseconds dead_timeout{450};
@@ -100,6 +113,13 @@
     std::uint64_t seen_sequence = 0;
     std::uint64_t echoed_held = 0; // version of this host's `held` that the peer has
     microseconds next_heartbeat{0};
+    milliseconds interval{0}; // of its heartbeats to this host, as announced, at least the default
+    // Send time of the first heartbeat since which the longer interval has been announced to it
+    // without interruption; -1: it is not announced.
+    microseconds slow_announced_at{-1};
+    bool slow = false;              // receives heartbeats at the longer interval
+    bool answer_due = false;        // ended the longer interval and awaits a heartbeat
+    microseconds not_slow_until{0}; // a heartbeat of it was overdue
     // Offers that this host has withdrawn, with the time, until the peer echoes a heartbeat that
     // listed them or `max_withdrawal_age` has passed.
     std::deque<std::pair<microseconds, std::uint64_t>> withdrawn;
@@ -132,20 +152,30 @@
         const crash_record* crashes = nullptr;         // null: none are announced
         const evacuation_state* evacuations = nullptr; // null: not known
         std::uint32_t max_workers = 0;                 // 0: not announced
+        // Not announced: jobs in this host's pool, and other hosts' pools that its callers' jobs
+        // were offered to. These need each other's heartbeats at the default interval.
+        std::size_t open_jobs = 0;
+        std::set<std::string> pools_in_use;
     };
     // Sends the heartbeats that are due. `announce` is called only if there are any.
     void tick(microseconds now, const std::function<announcement()>& announce, action_list& out);
+    // Sends a heartbeat to a peer whose latest heartbeat ended the longer interval. Its echoes are
+    // then fresh before this host offers it a job. Does nothing for other peers.
+    void answer(microseconds now, const std::string& name,
+                const std::function<announcement()>& announce, action_list& out);
     // Processes a heartbeat. Returns the sender, or null if the heartbeat is out of date or this
     // host's own.
     peer* on_heartbeat(microseconds now, const host_ref& from, const wire::PoolBeat& heartbeat,
                        action_list& out);
 
-    // Returns true if a heartbeat of the host arrived within `dead_timeout`. After a pause of this
-    // process the timeout restarts.
+    // Returns true if a heartbeat of the host arrived within `dead_timeout` plus what the host's
+    // announced interval exceeds the default one by. After a pause of this process the timeout
+    // restarts.
     bool alive(const std::string& name, microseconds now) const;
     // Returns false if the host has been silent for so long that it must have ended or be cut off,
-    // rather than be late: `dead_timeout`, twice that if it announced that it is overloaded, and
-    // the time for which its heartbeats may have waited here. Decides about its workers.
+    // rather than be late: the timeout of alive(), twice that if it announced that it is
+    // overloaded, and the time for which its heartbeats may have waited here. Decides about its
+    // workers.
     bool may_be_alive(const std::string& name, microseconds now) const;
     // Sets how late this process handles messages. While it is more than `max_prompt_delay`, no
     // heartbeats are sent early: each early round takes the time of a usual one.
@@ -187,8 +217,15 @@
     // Returns the hosts that held workers and fell silent without a planned stop or restarted,
     // until they are removed after `forget_timeout`.
     std::vector<silent_host> find_silent_hosts(microseconds now) const;
-    // Makes the next heartbeats due at once, for example because the set of held workers changed.
-    void expedite_heartbeats() { m_next_round = microseconds{0}; }
+    // Makes the next heartbeats to all hosts due at once, for example because the set of held
+    // workers changed. Longer intervals end until the peers have echoed a heartbeat of that round.
+    void expedite_heartbeats()
+    {
+        m_next_round = microseconds{0};
+        m_expedited = true;
+    }
+    // Returns how many peers receive heartbeats at the longer interval.
+    std::size_t count_slow_peers() const;
     // Returns true if fewer than half of the hosts whose last heartbeat arrived within
     // `recent_peer_period` are alive. False if there are fewer than two such hosts.
     bool partitioned(microseconds now) const;
@@ -229,6 +266,24 @@
     void remove_peer(std::map<std::string, peer>::iterator host);
     void send_heartbeat(microseconds now, peer& to, const announcement& own_state,
                         action_list& out);
+    // Takes the next sequence number.
+    void begin_heartbeats(microseconds now);
+    void send_single(microseconds now, peer& to, const std::function<announcement()>& announce,
+                     action_list& out);
+    // Returns true if the longer interval may be announced to the host.
+    bool may_slow_down(microseconds now, const peer& host, const announcement& own_state) const;
+    // Decides which interval is announced to the host and which one is used. `restart`: the host is
+    // to echo the announcement anew.
+    void update_interval(microseconds now, peer& host, const announcement& own_state,
+                         bool restart) const;
+    // Ends the longer interval of peers whose slow heartbeats are overdue, and sends them one that
+    // asks for an answer. A single lost heartbeat thus makes no living host count as silent.
+    void probe_overdue_peers(microseconds now, const std::function<announcement()>& announce,
+                             action_list& out);
+    // Returns true if a heartbeat to the host is due in the present round.
+    bool due_in_round(const std::string& name, const peer& host) const;
+    bool is_prompt() const { return m_handling_delay <= m_settings.max_prompt_delay; }
+    milliseconds timeout_of(const peer& host) const;
     // Returns the send time of an own heartbeat; negative if it is no longer known.
     microseconds sent_at(std::uint64_t sequence) const;
     // `known`: hosts that sent a heartbeat (or, on request, were introduced) within
@@ -250,6 +305,7 @@
     std::deque<std::pair<std::uint64_t, microseconds>> m_sent; // sequence and send time
     std::uint64_t m_sequence = 0;
     microseconds m_next_round{0};
+    bool m_expedited = false;
     microseconds m_last_tick{0};
     microseconds m_listening_since{0};
     microseconds m_settled_at{-1};
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -195,24 +195,7 @@
         m_pool.crashes().own_changes())
         m_membership.expedite_heartbeats();
     m_membership.tick(
-        now.steady,
-        [&]
-        {
-            return membership::announcement{m_leaving,
-                                            m_delay.overloaded(),
-                                            m_config ? m_config->version : 0,
-                                            {m_pool.free_cpu(now.steady),
-                                             m_pool.total_cpu(now.steady),
-                                             m_pool.expected_wait(now.steady)},
-                                            m_pool.held_version(),
-                                            m_pool.held(),
-                                            m_pool.unread(),
-                                            &m_started,
-                                            &m_pool.crashes(),
-                                            m_pool.evacuated().state(),
-                                            m_capacity.max_workers()};
-        },
-        out);
+        now.steady, [&] { return announcement(now); }, out);
     cancel_silent_callers(now, out);
     m_pool.tick(now.steady, out);
     m_call_router.tick(now.steady, out);
@@ -228,6 +211,24 @@
     set_senders(out);
 }
 
+membership::announcement pool_host::announcement(instant now) const
+{
+    return {m_leaving,
+            m_delay.overloaded(),
+            m_config ? m_config->version : 0,
+            {m_pool.free_cpu(now.steady), m_pool.total_cpu(now.steady),
+             m_pool.expected_wait(now.steady)},
+            m_pool.held_version(),
+            m_pool.held(),
+            m_pool.unread(),
+            &m_started,
+            &m_pool.crashes(),
+            m_pool.evacuated().state(),
+            m_capacity.max_workers(),
+            m_pool.open_jobs(),
+            m_capacity.max_workers() > 0 ? m_call_router.pools_in_use() : std::set<std::string>{}};
+}
+
 void pool_host::cancel_silent_callers(instant now, action_list& out)
 {
     m_pool.cancel_callers(
@@ -626,6 +627,8 @@
             break;
         for (const auto offer : message.pool_beat().withdrawn())
             m_pool.cancel(now.steady, {from.name, from.incarnation, offer}, out);
+        m_membership.answer(
+            now.steady, from.name, [&] { return announcement(now); }, out);
         break;
     }
     case wire::PeerMessage::kPoolJob:
@@ -657,6 +660,8 @@
     if (std::exchange(m_leaving, true))
         return;
     m_leaving_since = now.steady;
+    if (m_membership.count_slow_peers() > 0)
+        m_membership.expedite_heartbeats();
     m_call_router.close_local_pool();
     m_pool.decline_unstarted_jobs(now.steady, out);
     forward_results(now, out);
--- a/src/pool/pool_host.hpp
+++ b/src/pool/pool_host.hpp
@@ -169,6 +169,8 @@
     // Evaluates whether "not run" answers have to wait for the lists of a silent host's workers.
     void update_awaited_lists(instant now, action_list& out);
     void forward_results(instant now, action_list& out);
+    // The state that heartbeats announce.
+    membership::announcement announcement(instant now) const;
     // Cancels the jobs of hosts that may count this one as disconnected.
     void cancel_silent_callers(instant now, action_list& out);
     void on_pool_job(instant now, const host_ref& from, const wire::PoolJob& message,
--- a/tests/peer_inbox_test.cpp
+++ b/tests/peer_inbox_test.cpp
@@ -113,7 +113,8 @@
                 host.load.wait.count(), host.load_at.count(), host.held_version,
                 host.announced_version, host.held_count, host.settled, host.introduced_at.count(),
                 host.last_heard.count(), host.alive_since.count(), host.echo_sent.count(),
-                host.seen_sequence, host.echoed_held, hosts.alive(name, now));
+                host.seen_sequence, host.echoed_held, host.interval.count(), hosts.alive(name, now),
+                hosts.may_be_alive(name, now));
             for (const auto& worker : host.held)
                 add(worker);
             add("unread");
@@ -340,6 +341,8 @@
                     host->hosts->withdraw(now, reader_ref, random() % 1000);
                 if (auto heartbeat = tick_for_reader(*host->hosts, now, state))
                 {
+                    if (chance(30))
+                        heartbeat->mutable_pool_beat()->set_interval_ms(500);
                     deliver(*heartbeat);
                     // Hosts that hear each other tell the reader so once it becomes alive.
                     action_list unused;
