Pools that share a data centre are used evenly

Cause: of two pools without a wait, callers' hosts chose the one whose name comes first, until it was full.

Change: the used share of a pool's capacity adds up to 10 ms to its cost, less than the penalty for another data centre.

--- a/src/pool/call_router.cpp
+++ b/src/pool/call_router.cpp
@@ -1,7 +1,8 @@
 // A job goes as a whole to one pool, in the same data centre unless another one would start it
 // clearly sooner. The cost of a pool is the wait that it announced plus the expected time until the
 // capacity that the job lacks becomes free; the demand of jobs offered since the announcement
-// counts as used. A pool that declines a job has started none of it, so the job is offered to the
+// counts as used. A fuller pool costs a little more, so that pools which share a data centre are
+// used evenly. A pool that declines a job has started none of it, so the job is offered to the
 // next pool, to each at most once, until `max_capacity_declines` pools had no room for it. The
 // trade-off against offering it to several pools at once: one more round trip after a decline, but
 // no duplicate work.
@@ -148,8 +149,10 @@
     const auto free = std::max<std::int64_t>(0, load.free_cpu - reserved);
     const auto missing = std::max<std::int64_t>(0, cpu - free);
     const auto total = static_cast<double>(std::max<std::int64_t>(1, load.total_cpu));
+    const auto used = 1 - std::min(1.0, static_cast<double>(free) / total);
     return static_cast<double>(load.wait.count()) +
-           static_cast<double>(missing) / total * static_cast<double>(m_settings.turnover.count());
+           static_cast<double>(missing) / total * static_cast<double>(m_settings.turnover.count()) +
+           used * static_cast<double>(m_settings.full_pool_penalty.count());
 }
 
 std::optional<std::string> call_router::choose_pool(microseconds now, const open_call& call) const
--- a/src/pool/call_router.hpp
+++ b/src/pool/call_router.hpp
@@ -18,6 +18,10 @@
     // The typical time until a busy worker has free capacity again; scales a job's missing
     // capacity to an expected wait.
     milliseconds turnover{120};
+    // Counted for a pool without free capacity, and in proportion for others: of two pools that
+    // could start a job at once, the emptier one has more of its fast workers left. Less than
+    // `remote_penalty`, so that it draws no job to another data centre.
+    milliseconds full_pool_penalty{10};
     // After this time without a heartbeat from a pool's host none of its runs exists: the host
     // cancels callers' jobs after 700 ms without an echo, and the runs that it cannot stop end with
     // their leases 714 ms later.
