--- a/src/pool/call_router.cpp
+++ b/src/pool/call_router.cpp
@@ -298,7 +298,8 @@
                        });
 }
 
-bool call_router::evacuated_out(microseconds now, const open_call& call, bool pool_expected) const
+bool call_router::all_pools_evacuated(microseconds now, const open_call& call,
+                                      bool pool_expected) const
 {
     if (call.orphan || !m_evacuation.all_evacuated)
         return false;
@@ -311,7 +312,7 @@
     const auto settled = m_peers.settled_at();
     const bool pool_expected =
         call.orphan || settled.count() < 0 || now - settled < m_settings.initial_takeover_period;
-    if (evacuated_out(now, call, pool_expected))
+    if (all_pools_evacuated(now, call, pool_expected))
         return call.arrived;
     if (!pool_expected)
         return call.arrived + spare_time(call.job);
--- a/src/pool/call_router.hpp
+++ b/src/pool/call_router.hpp
@@ -158,7 +158,7 @@
     bool has_live_pool(microseconds now) const;
     // Returns true if evacuations have left no pool for the job. `pool_expected`: workers may be
     // acquired soon.
-    bool evacuated_out(microseconds now, const open_call& call, bool pool_expected) const;
+    bool all_pools_evacuated(microseconds now, const open_call& call, bool pool_expected) const;
     // Returns the pool for an orphaned job: its former pool if that host is alive again, else a
     // pool that holds all of its former workers, or any pool once their leases have expired.
     std::optional<std::string> choose_for_orphan(microseconds now, open_call& call) const;
--- a/src/pool/pool_host.cpp
+++ b/src/pool/pool_host.cpp
@@ -26,8 +26,7 @@
           m_membership, m_pool, m_started),
       m_config_fetcher(m_settings.config),
       m_queries(m_settings.queries, m_settings.membership.self.incarnation),
-      m_delay(m_settings.delay),
-      m_capacity(m_settings.capacity, m_settings.assignment.max_workers)
+      m_delay(m_settings.delay), m_capacity(m_settings.capacity, m_settings.assignment.max_workers)
 {
     m_pool.set_visibility(
         [this](const caller_ref& caller)
