--- a/harness/pool_schedule.cpp
+++ b/harness/pool_schedule.cpp
@@ -177,6 +177,7 @@
     pool_simulation_settings settings;
     settings.seed = seed;
     settings.draw_only = options.draw_only;
+    settings.late_leases = seed % 2 == 1;
     pool_simulation simulation(settings);
     simulation.trace = options.trace;
     scheduler schedule(simulation, seed);
--- a/harness/pool_schedule_restart.cpp
+++ b/harness/pool_schedule_restart.cpp
@@ -37,6 +37,7 @@
         pool_simulation_settings settings;
         settings.seed = seed;
         settings.draw_only = m_draw_only;
+        settings.late_leases = seed % 2 == 1;
         settings.data_centres = static_cast<std::uint32_t>(random_integer(2, 3));
         settings.hosts_per_centre = static_cast<std::uint32_t>(random_integer(3, 8));
         settings.workers_per_centre = settings.hosts_per_centre * 5;
--- a/harness/pool_simulation.cpp
+++ b/harness/pool_simulation.cpp
@@ -588,6 +588,16 @@
     m_settings.crashed_worker_downtime = downtime;
 }
 
+void pool_simulation::set_order_delay(std::uint32_t worker, microseconds delay)
+{
+    if (only_drawn("set_order_delay", std::uint64_t{worker}, delay))
+        return;
+    if (delay.count() == 0)
+        m_order_delays.erase(worker);
+    else
+        m_order_delays[worker] = delay;
+}
+
 void pool_simulation::set_unanswered_share(double share)
 {
     if (only_drawn("set_unanswered_share", share))
@@ -823,11 +833,17 @@
     while (m_workers[target]->entry().id != order.worker)
         ++target;
     // Half of the orders without an answer are executed after the usual delay, half seconds later.
-    const bool unanswered = std::bernoulli_distribution(m_unanswered_share)(m_random);
+    bool unanswered = std::bernoulli_distribution(m_unanswered_share)(m_random);
     const bool late = unanswered && std::bernoulli_distribution(0.5)(m_random);
-    const auto when = m_now + (late ? microseconds{std::uniform_int_distribution<std::int64_t>(
-                                          min_late_delay.count(), max_late_delay.count())(m_random)}
-                                    : delay());
+    auto order_delay = late ? microseconds{std::uniform_int_distribution<std::int64_t>(
+                                  min_late_delay.count(), max_late_delay.count())(m_random)}
+                            : delay();
+    if (const auto delayed = m_order_delays.find(target); delayed != m_order_delays.end())
+    {
+        unanswered = true;
+        order_delay = delayed->second;
+    }
+    const auto when = m_now + order_delay;
     // The timeout is reported even if the order was answered.
     at(m_now + order.timeout,
        [this, index, incarnation, request = order.request]
@@ -838,8 +854,13 @@
        });
     if (m_cut_workers.contains({index, target}))
         return;
-    at(when, [this, index, incarnation, target, order, unanswered]
-       { execute_order(index, incarnation, target, order, !unanswered); });
+    auto executed = order;
+    if constexpr (!std::is_same_v<Order, actions::stop_run>)
+        if (m_settings.late_leases && order_delay >= min_late_delay && order.lease_until_ms > 0)
+            executed.lease_until_ms +=
+                std::chrono::duration_cast<milliseconds>(order_delay).count();
+    at(when, [this, index, incarnation, target, executed, unanswered]
+       { execute_order(index, incarnation, target, executed, !unanswered); });
 }
 
 template <class Order>
--- a/harness/pool_simulation.hpp
+++ b/harness/pool_simulation.hpp
@@ -70,6 +70,9 @@
     // A worker that a task has crashed restarts after this time.
     milliseconds crashed_worker_downtime{3000};
     processor_settings processor;
+    // If set, a worker that executes an order late counts the lease in it from then. Otherwise the
+    // lease ends at the time that the order names.
+    bool late_leases = false;
     // If set, hosts read the evacuations from the store, each after a delay of up to this time.
     milliseconds evacuation_read_delay{0};
     // If set, what a schedule asks for is added to digest() and has no effect, except that killed
@@ -202,8 +205,12 @@
     // platform allows 4.5 s, since entries are written that late.
     void set_worker_capacity(std::uint32_t index, const pool::resources& capacity);
     // Sets the share of orders to workers that get no answer. Half of these orders are executed
-    // after the usual network delay and half 2 to 12 s later.
+    // after the usual network delay and half 2 to 12 s later. With
+    // pool_simulation_settings::late_leases the lease of the latter counts from then.
     void set_unanswered_share(double share);
+    // Orders sent to the worker from now on get no answer and are executed this much later. 0 ends
+    // that.
+    void set_order_delay(std::uint32_t worker, microseconds delay);
 
     struct call_record
     {
@@ -377,6 +384,7 @@
     std::vector<answered_query> m_answered_queries;
     std::vector<std::string> m_violations;
     std::size_t m_starts = 0;
+    std::map<std::uint32_t, microseconds> m_order_delays; // by worker
     double m_unanswered_share = 0;
     schedule_digest m_digest;
 };
--- a/src/pool/held_worker.cpp
+++ b/src/pool/held_worker.cpp
@@ -11,9 +11,13 @@
 //    starts meanwhile. The alternative, a stop for the run, would fence off only that run; the
 //    raised token fences off every late order.
 //
-// 3. A run on a silent worker counts as ended once its lease has certainly expired: the worker's
-//    clock, as last reported and advanced at the slowest rate assumed, has passed the latest lease
-//    end in any order.
+// 3. A run that was known to be running counts as ended on a silent worker once its lease has
+//    certainly expired: the worker's clock, as last reported and advanced at the slowest rate
+//    assumed, has passed the latest lease end in any order. That does not hold for a start in
+//    doubt, since a worker may count the lease from the time at which it carries the start out.
+//    Such a start stays in doubt until the worker accepts the raised token, or is gone. The
+//    trade-off: its task waits for a worker that crashed, where a new start might have been in
+//    time.
 //
 // Answers may arrive out of order. The list of a hold is therefore conclusive about a run only if
 // the hold was sent after the run was known to be running, or under a higher token than the run's
@@ -102,6 +106,16 @@
     return slowest > static_cast<double>(m_lease_sent_ms + lease_expiry_margin_ms);
 }
 
+bool held_worker::certainly_ended(const run_state& state, microseconds now) const
+{
+#ifdef EGRETLEDGE_BREAK_LAPSE
+    return true;
+#endif
+    if (state.at == stage::starting)
+        return false;
+    return lease_certainly_expired(now);
+}
+
 bool held_worker::stop_in_doubt() const
 {
     return std::any_of(m_runs.begin(), m_runs.end(),
@@ -186,13 +200,10 @@
 {
     if (m_lost)
         return;
-#ifdef EGRETLEDGE_BREAK_LAPSE
-    if (m_silent_since.count() != 0 && !m_runs.empty())
-#else
-    if (m_silent_since.count() != 0 && !m_runs.empty() && lease_certainly_expired(now))
-#endif
+    if (m_silent_since.count() != 0 &&
+        end_silent_runs(
+            now, [&](const run_state& state) { return certainly_ended(state, now); }, events))
     {
-        end_silent_runs(now, events);
         raise_fence();
         m_next_hold = now + m_settings.retry_delay;
     }
@@ -449,12 +460,38 @@
     return events;
 }
 
-void held_worker::end_silent_runs(microseconds now, worker_events& events)
+template <class Predicate>
+bool held_worker::end_silent_runs(microseconds now, const Predicate& ended, worker_events& events)
 {
-    for (auto& event : silent_runs(now))
-        events.push_back(std::move(event));
-    m_runs.clear();
-    m_used = {};
+    bool any = false;
+    for (auto entry = m_runs.begin(); entry != m_runs.end();)
+    {
+        const auto here = entry++;
+        if (!ended(here->second))
+            continue;
+        any = true;
+        if (!here->second.foreign)
+        {
+            events.push_back(make_end(now, here->second, run_end::lapsed));
+            events.back().silent = true;
+        }
+        remove_run(here);
+    }
+    return any;
+}
+
+void held_worker::give_up_unanswered_starts(microseconds now, worker_events& events)
+{
+    if (m_silent_since.count() == 0)
+        return;
+    end_silent_runs(
+        now,
+        [&](const run_state& state)
+        {
+            return state.at == stage::starting &&
+                   now - state.view.sent >= m_settings.unanswered_start_timeout;
+        },
+        events);
 }
 
 void held_worker::remove_run(std::map<run_ref, run_state>::iterator entry)
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -432,6 +432,64 @@
     BOOST_TEST(ended_at.count() < at_ms(2000).count());
 }
 
+// Guards against two runs of one task (review/6): a start without an answer counted as ended by the
+// lease in it, and was carried out later under a lease that counted from then.
+BOOST_AUTO_TEST_CASE(an_unanswered_start_outlasts_its_lease_on_a_silent_worker)
+{
+    worker_fixture test;
+    test.take();
+    test.worker.start(at_ms(10), first_run, usual_task, "p", test.next, test.out);
+    const auto start = test.last<actions::start_run>();
+    test.events.clear();
+    for (std::int64_t ms = 70; ms < 30000; ms += 20)
+    {
+        for (std::uint64_t request = 1; request < test.next; ++request)
+            test.worker.on_reply(at_ms(ms), request, {}, test.next, test.out, test.events);
+        test.worker.tick(at_ms(ms), test.next, test.out, test.events);
+        BOOST_REQUIRE(test.events.empty());
+    }
+    BOOST_TEST(test.worker.free().cpu == 16000 - 6800);
+    test.worker.tick(at_ms(30100), test.next, test.out, test.events);
+    const auto hold = test.last<actions::hold_worker>();
+    BOOST_TEST(hold.fence > start.fence);
+    test.reply(at_ms(30110), hold.request, worker_fixture::accepted(35000));
+    BOOST_REQUIRE(test.events.size() == 1U);
+    BOOST_TEST((test.events[0].kind == worker_event_kind::not_started));
+    BOOST_TEST(test.worker.usable());
+}
+
+// Guards against a worker that is held for ever: it is gone, and never answers about a start.
+BOOST_AUTO_TEST_CASE(an_unanswered_start_on_an_unregistered_worker_is_given_up)
+{
+    worker_pool pool({}, 9);
+    action_list out;
+    pool.acquire({at_ms(1), 1000ms}, make_worker_entry("w1"), out);
+    pool.on_worker_reply(at_ms(2), std::get<actions::hold_worker>(out.front()).request,
+                         worker_fixture::accepted(5000), out);
+    job_request job;
+    job.id = "job";
+    job.terms = {"r", "desk", 0, 3, 1.6, 60ms, 1500ms};
+    job.steps.resize(1);
+    job.steps[0] = {1, usual_task, 200ms, {}, {}, {}, 0};
+    pool.submit(at_ms(10), job, {{}, 0, 1}, 0ms, out);
+    BOOST_REQUIRE(pool.counts().starts == 1U);
+    pool.on_registry({});
+    for (std::int64_t ms = 70; ms <= 16000; ms += 20)
+    {
+        for (const auto& action : std::exchange(out, {}))
+            if (const auto* hold = std::get_if<actions::hold_worker>(&action))
+                pool.on_worker_reply(at_ms(ms), hold->request, {}, out);
+            else if (const auto* start = std::get_if<actions::start_run>(&action))
+                pool.on_worker_reply(at_ms(ms), start->request, {}, out);
+        pool.tick(at_ms(ms), out);
+        // The caller has been answered by 1.6 s.
+        if (ms > 1600 && ms < 15000)
+            BOOST_REQUIRE(pool.ending("job"));
+    }
+    BOOST_TEST(!pool.ending("job"));
+    BOOST_TEST(!pool.holds("w1"));
+}
+
 BOOST_AUTO_TEST_CASE(a_higher_fence_of_another_holder_ends_the_hold)
 {
     worker_fixture test;
--- a/tests/pool_world_test.cpp
+++ b/tests/pool_world_test.cpp
@@ -108,6 +108,50 @@
     }
 }
 
+// Guards against two runs of one task (review/6): the orders to a worker get no answer, and it
+// carries them out seconds later, under leases that count from then.
+BOOST_AUTO_TEST_CASE(a_start_that_is_carried_out_late_does_not_run_beside_the_next_one)
+{
+    pool_simulation_settings settings;
+    settings.data_centres = 1;
+    settings.hosts_per_centre = 2;
+    settings.workers_per_centre = 4;
+    settings.caller_wait = 14000ms;
+    settings.late_leases = true;
+    pool_simulation sim(settings);
+    sim.run_until(at_ms(2500));
+    for (std::uint32_t worker = 0; worker < sim.worker_count(); ++worker)
+        sim.set_order_delay(worker, 2s);
+    sim.submit(0, "job", 1, usual_task, 5s);
+    std::size_t late = sim.worker_count();
+    sim.at(at_ms(2700),
+           [&]
+           {
+               // The worker that the task was sent to stays late; the others answer again.
+               for (std::uint32_t host = 0; host < sim.host_count(); ++host)
+                   for (const auto& id : sim.host(host)->workers().held())
+                       for (std::uint32_t worker = 0; worker < sim.worker_count(); ++worker)
+                           if (sim.worker(worker).entry().id == id &&
+                               sim.host(host)->workers().find(id)->idle())
+                           {
+                               sim.set_order_delay(worker, 0s);
+                               --late;
+                           }
+           });
+    sim.at(at_ms(5500),
+           [&]
+           {
+               for (std::uint32_t worker = 0; worker < sim.worker_count(); ++worker)
+                   sim.set_order_delay(worker, 0s);
+           });
+    sim.run_until(at_ms(20000));
+    BOOST_TEST(late == 1U);
+    BOOST_TEST(sim.starts() >= 2U);
+    BOOST_TEST((sim.last_call("job")->answer.kind == answer_kind::ok));
+    for (const auto& violation : sim.violations())
+        BOOST_TEST(false, violation);
+}
+
 BOOST_AUTO_TEST_CASE(a_stop_waits_for_the_load_balancer_and_is_overdue_after_its_limit)
 {
     pool_host_settings settings;
