A hold without an answer that extends the lease raises the token

A hold that is carried out seconds late extends the lease of all runs on its worker from then, so that a run can outlive the time by which its holder counts it as ended, if the worker falls silent meanwhile.

Cause: only a start without an answer raised the token; a lost hold left it as it was, and nothing fenced the late one off.

Change: a hold that extends the lease and gets no answer raises the token, so that the next accepted hold bars it. The hold under the raised token is sent as soon as the worker is heard again, not after the retry delay.

Result: a_hold_that_extends_the_lease_is_fenced_off_if_it_gets_no_answer failed before and passes.

--- a/src/pool/held_worker.cpp
+++ b/src/pool/held_worker.cpp
@@ -19,6 +19,9 @@
 //    trade-off: its task waits for a worker that crashed, where a new start might have been in
 //    time.
 //
+// 4. A hold without an answer that extends the lease may do so seconds later. The token is raised
+//    then too, so that the next accepted hold fences it off.
+//
 // Answers may arrive out of order. The list of a hold is therefore conclusive about a run only if
 // the hold was sent after the run was known to be running, or under a higher token than the run's
 // start.
@@ -153,7 +156,7 @@
     m_runs.emplace(run, state);
     m_used += demand;
     const auto request = next_request++;
-    m_orders[request] = {order_kind::start, run, m_fence, now};
+    m_orders[request] = {order_kind::start, run, m_fence, now, true};
     out.push_back(actions::start_run{request, m_entry.id, m_entry.address, m_fence,
                                      extend_lease(now), run, payload, order_timeout()});
     if (m_open_holds == 0)
@@ -180,7 +183,6 @@
                             action_list& out)
 {
     const auto request = next_request++;
-    m_orders[request] = {order_kind::hold, {}, m_fence, now};
     ++m_open_holds;
     // A hold to a silent worker does not extend the lease, since otherwise the lease of its runs
     // would never be known to have expired. Neither does a hold if all runs are to be stopped.
@@ -189,6 +191,7 @@
                                     [](const auto& entry) {
                                         return !entry.second.foreign && !entry.second.view.stopping;
                                     });
+    m_orders[request] = {order_kind::hold, {}, m_fence, now, renews};
     out.push_back(actions::hold_worker{request, m_entry.id, m_entry.address, m_fence,
                                        renews ? extend_lease(now) : 0, m_ends_seen, wait,
                                        wait + std::max(hold_timeout_margin, order_timeout())});
@@ -293,10 +296,14 @@
         return;
     case order_result::other_lifetime:
         return mark_lost(reply.result, events);
+    case order_result::no_answer:
+        if (order.extends_lease && order.fence == m_fence)
+            raise_fence();
+        return record_silence(now);
     default:
         return record_silence(now);
     }
-    m_silent_since = microseconds{0};
+    const bool was_silent = std::exchange(m_silent_since, microseconds{0}).count() != 0;
     if (m_start_time_ms != 0 && reply.start_time_ms != 0 && reply.start_time_ms != m_start_time_ms)
         on_worker_restart(now, reply);
     if (reply.start_time_ms != 0)
@@ -307,7 +314,12 @@
         record_ended(line, now, events);
     resolve_unlisted_runs(now, order, reply, events);
     if (order.fence != m_fence)
+    {
+        // The worker answers, so the hold under the raised token need not wait for the retry delay.
+        if (was_silent)
+            m_next_hold = now;
         return;
+    }
     m_fence_unconfirmed = false;
     m_fence_step = min_fence_step;
     if (!m_acquired)
--- a/src/pool/held_worker.hpp
+++ b/src/pool/held_worker.hpp
@@ -169,6 +169,7 @@
         run_ref run;
         std::uint64_t fence = 0;
         microseconds sent{0};
+        bool extends_lease = false;
     };
 
     milliseconds order_timeout() const { return m_settings.order_timeout + m_processing_delay; }
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -458,6 +458,28 @@
     BOOST_TEST(test.worker.usable());
 }
 
+// Guards against a run that outlives the lease by which its holder counts it as ended: an earlier
+// hold without an answer extended the lease when it was carried out.
+BOOST_AUTO_TEST_CASE(a_hold_that_extends_the_lease_is_fenced_off_if_it_gets_no_answer)
+{
+    worker_fixture test;
+    test.take();
+    const auto early_hold = test.last<actions::hold_worker>();
+    test.worker.start(at_ms(10), first_run, usual_task, "p", test.next, test.out);
+    test.reply(at_ms(12), test.last<actions::start_run>().request, worker_fixture::accepted(5010));
+    test.reply(at_ms(13), early_hold.request, worker_fixture::accepted(5011));
+    const auto lost = test.last<actions::hold_worker>();
+    BOOST_REQUIRE(lost.lease_until_ms > 0);
+    test.reply(at_ms(330), lost.request, {});
+    test.worker.tick(at_ms(400), test.next, test.out, test.events);
+    BOOST_TEST(test.last<actions::hold_worker>().fence > lost.fence);
+    BOOST_TEST(!test.worker.usable());
+    auto answer = worker_fixture::accepted(5400);
+    answer.running.push_back({first_run, 10});
+    test.reply(at_ms(402), test.last<actions::hold_worker>().request, answer);
+    BOOST_TEST(test.worker.usable());
+}
+
 // Guards against a worker that is held for ever: it is gone, and never answers about a start.
 BOOST_AUTO_TEST_CASE(an_unanswered_start_on_an_unregistered_worker_is_given_up)
 {
