Runs of a former holder count on a silent worker until their lease is over

The host that took a worker over found a run of the former holder there; when the worker fell silent in the next moment, that run counted as ended at once, and its task could start elsewhere beside it.

Cause: the end of a run on a silent worker was judged by the leases that this host had sent, and it had sent none for that run.

--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -480,6 +480,27 @@
     BOOST_TEST(test.worker.usable());
 }
 
+// Guards against two runs of one task: this host never extended the lease of a former holder's run,
+// so that the run counted as ended as soon as the worker fell silent.
+BOOST_AUTO_TEST_CASE(a_former_holders_run_occupies_a_silent_worker_until_its_lease_has_expired)
+{
+    worker_fixture test;
+    test.worker.tick(at_ms(1), test.next, test.out, test.events);
+    auto answer = worker_fixture::accepted(5000);
+    answer.running.push_back({{{"other", 0, 0, 3}, 4}, 10});
+    test.reply(at_ms(2), test.last<actions::hold_worker>().request, answer);
+    for (std::int64_t ms = 100; ms <= 1000; ms += 20)
+    {
+        for (std::uint64_t request = 1; request < test.next; ++request)
+            test.worker.on_reply(at_ms(ms), request, {}, test.next, test.out, test.events);
+        test.worker.tick(at_ms(ms), test.next, test.out, test.events);
+        BOOST_REQUIRE(test.worker.has_foreign_runs());
+    }
+    // Workers grant at most 1 s, on clocks that are up to 2% slow.
+    test.worker.tick(at_ms(1060), test.next, test.out, test.events);
+    BOOST_TEST(!test.worker.has_foreign_runs());
+}
+
 // Guards against a worker that is held for ever: it is gone, and never answers about a start.
 BOOST_AUTO_TEST_CASE(an_unanswered_start_on_an_unregistered_worker_is_given_up)
 {
