--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -1,13 +1,10 @@
 // Entries among the workers' that another program wrote: none may end the process or stop it from
 // following the others.
 
-#include "io/http_client.hpp"
-#include "io/http_server.hpp"
 #include "io/peer_bus.hpp"
-#include "platform/store_client.hpp"
+#include "tests/worker_store.hpp"
 #include <algorithm>
 #include <atomic>
-#include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace egretledge;
@@ -40,99 +37,21 @@
     return '"' + std::string(size, 'x') + '"';
 }
 
-std::string base64(const std::string& bytes)
-{
-    constexpr const char* digits =
-        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-    std::string text;
-    for (std::size_t i = 0; i < bytes.size(); i += 3)
-    {
-        std::uint32_t group = 0;
-        for (std::size_t j = 0; j < 3; ++j)
-            group =
-                group << 8 | (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0U);
-        for (std::size_t j = 0; j < 4; ++j)
-            text += i + j <= bytes.size() ? digits[group >> (18 - 6 * j) & 63] : '=';
-    }
-    return text;
-}
-
-std::string item(const std::string& key_in_json, const std::string& value)
-{
-    return R"({"key":)" + key_in_json + R"(,"value":")" + base64(value) + R"(","offset":1})";
-}
-
-std::string page_of(const std::vector<std::string>& items, bool more = false)
-{
-    std::string text = R"({"items":[)";
-    for (const auto& row : items)
-        text += (text.back() == '[' ? "" : ",") + row;
-    return text + R"(],"has_more":)" + (more ? "true" : "false") + R"(,"end":9})";
-}
-
-// A store whose topic of workers has the given page of newest records, and later the given batch.
-struct worker_store
-{
-    boost::asio::io_context context{1};
-    std::string page = page_of({});
-    std::string batch;
-    std::size_t page_reads = 0;
-    http_server server{context, {}, [this](const http_request& request, http_responder respond) {
-                           answer(request, respond);
-                       }};
-
-    static std::string number(std::uint64_t value)
-    {
-        std::string bytes;
-        for (int shift = 56; shift >= 0; shift -= 8)
-            bytes.push_back(static_cast<char>(value >> shift));
-        return bytes;
-    }
-    void answer(const http_request& request, const http_responder& respond)
-    {
-        const bool workers = request.query.find("keyed.servers") != std::string::npos;
-        if (request.path == "/log-append")
-            return respond({200, R"({"offset":0,"end":1})", "application/json", 0});
-        page_reads += workers && request.path == "/log-newest" ? 1 : 0;
-        if (request.path == "/log-newest")
-            return respond({200, workers ? page : page_of({}), "application/json", 0});
-        const auto records = workers ? std::exchange(batch, {}) : std::string{};
-        if (!workers && request.query.find("wait_ms") != std::string::npos)
-            return; // a long poll without an answer
-        respond({200, number(99) + number(0) + records, "application/octet-stream", 0});
-    }
-};
-
 // Follows the workers' topic until `done`, and returns the ids that are listed last.
 std::set<std::string> follow(worker_store& store,
                              const std::function<bool(const std::set<std::string>&)>& done,
                              milliseconds limit = milliseconds{3000})
 {
-    std::set<std::string> ids;
-    http_client http(store.context, 4);
-    store_settings settings;
-    settings.address = "127.0.0.1:" + std::to_string(store.server.port());
-    settings.own_name = "edge-1";
-    settings.workers_interval = milliseconds{20};
-    settings.min_retry_delay = milliseconds{20};
-    store_client client(store.context, http, settings,
-                        {[](const pool::route_config&) {},
-                         [&](const pool::worker_registry& workers)
-                         {
-                             ids.clear();
-                             for (const auto& [id, entry] : workers)
-                                 ids.insert(id);
-                         },
-                         [](const std::string&, const host_record&) { return true; },
-                         [](const std::string&) { return std::optional<microseconds>{}; },
-                         [](bool, const std::string&) {}, [](microseconds) {}});
-    client.start();
-    const auto begin = std::chrono::steady_clock::now();
-    while (!done(ids) && std::chrono::steady_clock::now() - begin < limit)
-        store.context.run_one_for(milliseconds{5});
-    client.stop();
-    store.context.run_for(milliseconds{20});
-    return ids;
+    const auto ids_of = [](const pool::worker_registry& registry)
+    {
+        std::set<std::string> ids;
+        for (const auto& [id, entry] : registry)
+            ids.insert(id);
+        return ids;
+    };
+    return ids_of(follow_registry(
+        store, [&](const pool::worker_registry& registry) { return done(ids_of(registry)); },
+        limit));
 }
 
 const std::string good_entry = entry_with("born", "17");
@@ -260,42 +179,6 @@
         BOOST_TEST(!decode_worker(id, good_entry).has_value());
 }
 
-// Guards against tasks that start on a draining worker: the store carried out an older report of
-// "ready" late, behind the report of "draining", and the worker counted as ready again.
-BOOST_AUTO_TEST_CASE(a_report_that_the_store_writes_late_does_not_undo_draining)
-{
-    const auto entry = [](std::uint64_t start_time_ms, std::uint64_t report)
-    {
-        pool::worker_entry result;
-        result.id = "i-1";
-        result.start_time_ms = start_time_ms;
-        result.report = report;
-        return result;
-    };
-    const auto at = [](std::int64_t ms) { return microseconds{ms * 1000}; };
-    report_order order;
-    BOOST_TEST(order.accept(at(0), entry(100, 7)));
-    BOOST_TEST(order.accept(at(100), entry(100, 9)));
-    BOOST_TEST(!order.accept(at(4650), entry(100, 8)));
-    BOOST_TEST(order.accept(at(5000), entry(100, 9))); // read again after a gap in the history
-    BOOST_TEST(order.accept(at(5100), entry(200, 1))); // the worker has restarted
-    BOOST_TEST(!order.accept(at(6000), entry(100, 10)));
-    BOOST_TEST(order.accept(at(6100), entry(200, 2)));
-    // Entries without a number, or of a restarted worker whose clock was set back.
-    BOOST_TEST(order.accept(at(6200), entry(200, 0)));
-    BOOST_TEST(!order.accept(at(6300), entry(50, 1)));
-    BOOST_TEST(order.accept(at(17000), entry(50, 8)));
-}
-
-// Guards against an order of reports that is not applied to what the store returns.
-BOOST_AUTO_TEST_CASE(an_entry_names_its_report)
-{
-    const auto entry = decode_worker("i-1", entry_with("seq", "12"));
-    BOOST_REQUIRE(entry.has_value());
-    BOOST_TEST(entry->report == 12U);
-    BOOST_TEST(decode_worker("i-1", entry_with("seq", "\"x\""))->report == 0U);
-}
-
 // Guards against a list that is not followed any more since one of its keys is no UTF-8: the whole
 // page was unreadable.
 BOOST_AUTO_TEST_CASE(workers_are_followed_beside_keys_that_are_not_utf8)
