--- a/src/pool/admission.cpp
+++ b/src/pool/admission.cpp
@@ -26,6 +26,9 @@
 constexpr milliseconds wait_without_workers{1000};
 // Bounds the work of a forecast if tasks are declared tiny or a worker's capacity is wrong.
 constexpr std::int64_t max_free_slots_per_worker = 256;
+// The smallest slot for tasks that wait, in thousandths of a core. With smaller ones a usual worker
+// has more free slots than the maximum, and a usual task would seem to take most of them.
+constexpr std::int64_t min_slot_cpu = 64;
 
 // Returns how many slots of this size a task with this demand takes.
 std::uint32_t slots_of(const resources& demand, std::int64_t slot_cpu)
@@ -64,8 +67,6 @@
 
 std::int64_t worker_pool::slot_cpu(const job_request* asking) const
 {
-    if (m_totals.starts > 0)
-        return std::max<std::int64_t>(1, m_usual_demand.cpu);
     std::int64_t sum = 0;
     std::int64_t tasks = 0;
     if (asking != nullptr)
@@ -77,11 +78,16 @@
     else
         for (const auto& [id, job] : m_jobs)
             for (const auto& task : job.tasks)
-            {
-                sum += job.request.steps[task.step].demand.cpu;
-                ++tasks;
-            }
-    return tasks == 0 ? 0 : std::max<std::int64_t>(1, sum / tasks);
+                if (task.stage == task_stage::waiting)
+                {
+                    sum += job.request.steps[task.step].demand.cpu;
+                    ++tasks;
+                }
+    const auto usual = m_totals.starts == 0 ? 0 : std::max<std::int64_t>(1, m_usual_demand.cpu);
+    if (tasks == 0)
+        return usual;
+    const auto mean = std::max(min_slot_cpu, sum / tasks);
+    return usual == 0 ? mean : std::min(usual, mean);
 }
 
 slot_schedule worker_pool::worker_slots(microseconds now, std::int64_t slot_cpu) const
--- a/src/pool/held_worker.hpp
+++ b/src/pool/held_worker.hpp
@@ -123,8 +123,9 @@
     // Sends a stop for a run. Its demand counts as used until the worker lists its end.
     void stop(microseconds now, const run_ref& run, std::uint64_t& next_request, action_list& out);
 
-    // Ends the starts that were sent `unanswered_start_timeout` ago or earlier and are still in doubt
-    // on a silent worker. For workers that are not registered any more: they may never answer.
+    // Ends the starts that were sent `unanswered_start_timeout` ago or earlier and are still in
+    // doubt on a silent worker. For workers that are not registered any more: they may never
+    // answer.
     void give_up_unanswered_starts(microseconds now, worker_events& events);
 
     // Sends holds and repeats stops that are due. Reports runs whose lease has expired on a silent
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -318,9 +318,10 @@
     bool end_former(const run_ref& run);
     // Returns the open job of the task and sets `state` to the task; null if there is none.
     open_job* find(const task_name& task, task_state*& state);
-    // Returns the size of a slot in thousandths of a core: the demand of a usual task. Before the
-    // first placement it is the mean demand of the tasks of `asking`, or without such a job that of
-    // the waiting tasks; 0 if nothing waits either.
+    // Returns the size of a slot in thousandths of a core: the demand of the last placed task, or
+    // the mean demand of the tasks that ask for room if that is smaller. These are the tasks of
+    // `asking`, or without such a job those that wait. A larger slot would refuse them for ever, as
+    // none of them would be placed. Returns 0 if nothing was placed and nothing waits.
     std::int64_t slot_cpu(const job_request* asking) const;
     // Returns the slots of the workers that accept tasks, and when each is expected to become free.
     slot_schedule worker_slots(microseconds now, std::int64_t slot_cpu) const;
--- a/tests/pool_forecast_test.cpp
+++ b/tests/pool_forecast_test.cpp
@@ -105,3 +105,31 @@
     BOOST_TEST(test.pool.open_jobs() == 4U);
     BOOST_TEST(test.pool.expected_wait(at_ms(4)) == 0ms);
 }
+
+// Guards against a pool that serves nothing but large tasks: it counted each worker as one slot of
+// the size of the last placed task, so that it refused every wide job of small tasks and never
+// placed one of them.
+BOOST_AUTO_TEST_CASE(a_pool_that_has_placed_a_large_task_admits_a_wide_job_of_small_ones)
+{
+    pool_fixture test(4);
+    test.answer_holds(at_ms(2));
+    test.submit(at_ms(3), test.make_job("large", 1, {16000, 64, 0}, 100ms));
+    BOOST_REQUIRE(test.pool.counts().starts == 1U);
+    BOOST_TEST(!test.submit(at_ms(4), test.make_job("wide", 32, small_task, 100ms)).has_value());
+    BOOST_TEST(test.pool.counts().starts == 33U);
+}
+
+// Guards against callers' hosts that avoid the same pool: it announced that each waiting task takes
+// a whole worker.
+BOOST_AUTO_TEST_CASE(a_pool_that_has_placed_a_large_task_announces_the_wait_for_its_actual_room)
+{
+    pool_fixture test(4);
+    test.answer_holds(at_ms(2));
+    auto large = test.make_job("large", 1, {16000, 64, 0}, 100ms);
+    test.pool.submit(at_ms(3), large, {{}, 0, 1}, 0ms, test.out);
+    BOOST_REQUIRE(test.pool.counts().starts == 1U);
+    test.pool.set_visibility([](const caller_ref&) { return std::uint64_t{0}; });
+    test.submit(at_ms(3), test.make_job("wide", 24, small_task, 100ms));
+    BOOST_TEST(test.pool.open_jobs() == 2U);
+    BOOST_TEST(test.pool.expected_wait(at_ms(4)) == 0ms);
+}
