--- a/src/pool/membership.cpp
+++ b/src/pool/membership.cpp
@@ -55,14 +55,26 @@
     if (same != m_peers.end() && same->second.address == address)
         return true;
     std::size_t unheard = 0;
-    for (const auto& [known, host] : m_peers)
+    auto longest_unheard = m_peers.end();
+    for (auto entry = m_peers.begin(); entry != m_peers.end(); ++entry)
     {
+        const auto& [known, host] = *entry;
         if (host.address == address && known != name && host.last_heard.count() >= 0)
             return true;
-        unheard += host.last_heard.count() < 0 ? 1 : 0;
+        if (host.last_heard.count() >= 0)
+            continue;
+        ++unheard;
+        if (longest_unheard == m_peers.end() ||
+            host.introduced_at < longest_unheard->second.introduced_at)
+            longest_unheard = entry;
     }
     if (same == m_peers.end() && unheard >= m_settings.max_unheard_hosts)
-        return false;
+    {
+        if (now - longest_unheard->second.introduced_at < m_settings.eager_period)
+            return false;
+        out.push_back(actions::set_peer_address{longest_unheard->first, {}});
+        remove_peer(longest_unheard);
+    }
     auto& host = m_peers[name];
     host.address = address;
     host.introduced_at = now;
--- a/src/pool/membership.hpp
+++ b/src/pool/membership.hpp
@@ -78,7 +78,8 @@
     // again if the platform lists it.
     milliseconds forget_timeout{30000};
     // Maximum number of known hosts that were never heard. Each costs a socket, of which the
-    // transport has 1,023, and heartbeats: 1,100 of them took a fifth of a core.
+    // transport has 1,023, and heartbeats: 1,100 of them took a fifth of a core. Beyond this number
+    // the one introduced first makes room for another host after its `eager_period`.
     std::size_t max_unheard_hosts = 256;
 };
 
--- a/tests/host_records_test.cpp
+++ b/tests/host_records_test.cpp
@@ -392,3 +392,123 @@
     BOOST_TEST(peers.all().size() == 2U); // h7 and h256
     BOOST_TEST(introduce(32s, 300, 555));
 }
+
+namespace
+{
+
+// Entry hosts that find each other by their records and heartbeats alone: the logic of each, and
+// the topic of the records. Heartbeats arrive at once.
+struct meeting_hosts
+{
+    struct host
+    {
+        pool::membership peers;
+        host_records records;
+    };
+    std::map<std::string, std::unique_ptr<host>> hosts;
+    std::vector<std::string> topic; // names, in the order of their records
+    pool::action_list out;
+
+    static std::string address_of(const std::string& name) { return "tcp://" + name; }
+    // Starts a host, which writes its record.
+    void start(const std::string& name)
+    {
+        pool::membership_settings settings;
+        settings.self = {name, 1};
+        settings.address = address_of(name);
+        host_records_settings record_settings;
+        record_settings.own_name = name;
+        hosts[name] =
+            std::make_unique<host>(host{pool::membership(settings), host_records(record_settings)});
+        topic.push_back(name);
+    }
+    // Adds the records of `count` hosts that have been replaced.
+    void add_dead(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            topic.push_back("dead-" + std::to_string(topic.size()));
+    }
+    // The host reads all records and introduces those that its table has room for.
+    void read(microseconds now, const std::string& name)
+    {
+        auto& reader = *hosts.at(name);
+        for (std::size_t offset = 0; offset < topic.size(); ++offset)
+            reader.records.set(topic[offset], {address_of(topic[offset]), 1}, offset);
+        reader.records.observe(now,
+                               [&](const std::string& other) -> std::optional<microseconds>
+                               {
+                                   const auto* peer = reader.peers.find(other);
+                                   if (peer == nullptr || peer->last_heard.count() < 0)
+                                       return std::nullopt;
+                                   return now - peer->last_heard;
+                               });
+        reader.records.introduce(now,
+                                 [&](const std::string& other, const host_record& record) {
+                                     return reader.peers.introduce(now, other, record.address, out);
+                                 });
+    }
+    // Each host sends its heartbeats, and those to live hosts arrive.
+    void beat(microseconds now)
+    {
+        for (auto& [name, sender] : hosts)
+        {
+            pool::action_list sent;
+            sender->peers.tick(
+                now, [] { return pool::membership::announcement{}; }, sent);
+            for (const auto& action : sent)
+                if (const auto* message = std::get_if<pool::actions::send_peer>(&action))
+                    if (const auto to = hosts.find(message->host); to != hosts.end())
+                        to->second->peers.on_heartbeat(now, {name, 1}, message->message.pool_beat(),
+                                                       out);
+        }
+    }
+    // Returns how many other hosts the host hears.
+    std::size_t heard_by(const std::string& name, microseconds now) const
+    {
+        return hosts.at(name)->peers.count_alive(now);
+    }
+};
+
+} // namespace
+
+// Guards against hosts that do not find each other after a restart of all, since the records of
+// replaced hosts came first and took all sockets (review/8).
+BOOST_AUTO_TEST_CASE(hosts_that_restart_among_1050_dead_records_find_each_other_at_once)
+{
+    meeting_hosts test;
+    test.add_dead(1050);
+    std::vector<std::string> names;
+    for (int i = 1; i <= 8; ++i)
+    {
+        // Each reads the records right after it has written its own, before the next one starts.
+        names.push_back("edge-" + std::to_string(9000 + i));
+        test.start(names.back());
+        test.read(1s, names.back());
+    }
+    for (auto now = 1000ms; now <= 2000ms; now += 125ms)
+        test.beat(now);
+    for (const auto& name : names)
+        BOOST_TEST(test.heard_by(name, 2s) == 7U);
+}
+
+// Guards against a new host that stays unknown for half a minute: the tables of the others were
+// full of replaced hosts that were still being tried, and its own of newer records than theirs.
+BOOST_AUTO_TEST_CASE(a_host_that_starts_after_300_replacements_is_found_at_the_next_read)
+{
+    meeting_hosts test;
+    test.add_dead(1050);
+    test.start("former");
+    test.read(1s, "former");
+    test.add_dead(300);
+    test.start("new");
+    test.read(4s, "new");
+    for (auto now = 1000ms; now <= 6000ms; now += 125ms)
+        test.beat(now);
+    BOOST_REQUIRE(test.heard_by("former", 6s) == 0U);
+    test.read(6s, "former");
+    for (auto now = 6000ms; now <= 7000ms; now += 125ms)
+        test.beat(now);
+    BOOST_TEST(test.heard_by("former", 7s) == 1U);
+    BOOST_TEST(test.heard_by("new", 7s) == 1U);
+    BOOST_TEST(test.hosts.at("former")->peers.all().size() == 256U);
+}
