--- a/src/pool/crash_record.cpp
+++ b/src/pool/crash_record.cpp
@@ -38,11 +38,13 @@
     auto found = std::find_if(crashes.begin(), crashes.end(),
                               [&](const crash& entry) { return entry.id == id; });
     if (found == crashes.end())
-        found = crashes.insert(crashes.end(), crash{id, state, own, in_doubt, now});
+        found = crashes.insert(crashes.end(), crash{id, state, own, in_doubt, now, now});
     // A second report on the same run may know of the answer to its start; another run may follow
     // once the suspicion is cleared.
     const bool same_run = found->state != crash_state::cleared;
-    *found = {id, state, own || found->own, in_doubt && (!same_run || found->in_doubt), now};
+    const auto suspected_at = found->state == crash_state::suspected ? found->suspected_at : now;
+    *found = {id,  state,       own || found->own, in_doubt && (!same_run || found->in_doubt),
+              now, suspected_at};
     m_changes.push_back({now, job, id});
     m_own_changes += own ? 1 : 0;
     if (state == crash_state::suspected)
@@ -159,6 +161,7 @@
     std::uint32_t confirmed_started = 0;
     std::uint32_t all = 0;
     std::uint32_t all_started = 0;
+    bool open_start = false;
     for (const auto& entry : crashes)
     {
         if (entry.id.step != step || entry.id.index != index || entry.state == crash_state::cleared)
@@ -168,6 +171,8 @@
         all_started += entry.in_doubt ? 0 : 1;
         confirmed += known ? 1 : 0;
         confirmed_started += known && !entry.in_doubt ? 1 : 0;
+        open_start = open_start || (!known && entry.in_doubt &&
+                                    m_now - entry.suspected_at < m_settings.open_start_timeout);
     }
     const auto reached = [&](std::uint32_t started, std::uint32_t with_doubtful) {
         return started >= m_settings.max_crashes ||
@@ -175,6 +180,7 @@
     };
     return reached(confirmed_started, confirmed) ? crash_verdict::deadly
            : reached(all_started, all)           ? crash_verdict::undecided
+           : open_start                          ? crash_verdict::open
            : all > 0                             ? crash_verdict::suspect
                                                  : crash_verdict::none;
 }
@@ -198,6 +204,7 @@
 
 void crash_record::evict_expired(microseconds now)
 {
+    m_now = now;
     for (; !m_changes.empty() && (now - m_changes.front().at > m_settings.retention_period ||
                                   m_changes.size() > m_settings.max_known);
          m_changes.pop_front())
--- a/src/pool/crash_record.hpp
+++ b/src/pool/crash_record.hpp
@@ -16,6 +16,10 @@
 //   start would cost a third worker if the task is at fault. If it is not, two workers that fell
 //   silent under it one after the other are rare, and a partition that ends clears them.
 //
+// A start that the silent worker had not answered may still be carried out, by that worker and
+// seconds later. The task does not start anywhere else meanwhile, not even for another submission
+// of its job at another host.
+//
 // Each host announces what it saw in its heartbeats until the receiver has echoed one of them, and
 // everything that it knows to a host that it has not heard before. Each host resolves suspicions by
 // itself, so that they outlive the host that saw them. A crash that two hosts report counts once:
@@ -44,6 +48,9 @@
     // A start without an answer may have arrived after another task had crashed the worker, so it
     // counts only as one of this many. The platform permits five starts.
     std::uint32_t max_crashes_in_doubt = 3;
+    // A start without an answer may be carried out for this long after it was suspected; see
+    // held_worker_settings::unanswered_start_timeout.
+    milliseconds open_start_timeout{15000};
 };
 
 // What is known about the workers that a task was on.
@@ -51,10 +58,11 @@
 {
     none,
     suspect,   // one worker crashed or fell silent under it
+    open,      // a silent worker may still carry out a start of it
     undecided, // as many as max_crashes did, but not all of them are known to have crashed
     deadly     // max_crashes workers crashed under it
 };
-BOOST_DESCRIBE_ENUM(crash_verdict, none, suspect, undecided, deadly)
+BOOST_DESCRIBE_ENUM(crash_verdict, none, suspect, open, undecided, deadly)
 std::string_view name_of(crash_verdict value);
 
 class crash_record
@@ -93,10 +101,11 @@
 
     // Returns true if no crash is known of any task.
     bool empty() const { return m_jobs.empty(); }
+    // Returns the verdict as of the latest call of evict_expired().
     crash_verdict verdict(const task_name& task) const;
     // Returns the highest verdict of the job's tasks.
     crash_verdict verdict(const std::string& job) const;
-    // Removes what is older than `retention_period`.
+    // Removes what is older than `retention_period`. To be called in short intervals.
     void evict_expired(microseconds now);
 
     // Appends to `out` what this host recorded at or after `since`, the newest first, up to
@@ -144,6 +153,7 @@
         bool own = false;      // seen by this host, not announced by a peer
         bool in_doubt = false; // the worker had not answered the start
         microseconds changed_at{0};
+        microseconds suspected_at{0}; // since when it has been a suspicion, while it is one
     };
     struct change_entry
     {
@@ -165,6 +175,7 @@
                           std::uint32_t index) const;
 
     crash_record_settings m_settings;
+    microseconds m_now{0}; // of the latest call of evict_expired()
     boost::unordered_flat_map<std::uint64_t, std::vector<crash>> m_jobs; // by the hash of their id
     // The jobs with suspicions about a worker, by the hash of its id.
     boost::unordered_flat_map<std::uint64_t, std::vector<std::uint64_t>> m_suspected_workers;
--- a/src/pool/held_worker.cpp
+++ b/src/pool/held_worker.cpp
@@ -15,9 +15,9 @@
 //    certainly expired: the worker's clock, as last reported and advanced at the slowest rate
 //    assumed, has passed the latest lease end in any order. That does not hold for a start in
 //    doubt, since a worker may count the lease from the time at which it carries the start out.
-//    Such a start stays in doubt until the worker accepts the raised token, or is gone. The
-//    trade-off: its task waits for a worker that crashed, where a new start might have been in
-//    time.
+//    Such a start stays in doubt until the worker accepts the raised token, or until no worker
+//    carries it out any more (`unanswered_start_timeout`). The trade-off: its task waits for a
+//    worker that crashed, where a new start might have been in time.
 //
 // 4. A hold without an answer that extends the lease may do so seconds later. The token is raised
 //    then too, so that the next accepted hold fences it off.
@@ -116,7 +116,7 @@
     return true;
 #endif
     if (state.at == stage::starting)
-        return false;
+        return now - state.view.sent >= m_settings.unanswered_start_timeout;
     if (!state.foreign)
         return lease_certainly_expired(now);
     // The token that the worker had accepted when it listed the run fences off its former holder,
@@ -210,9 +210,7 @@
 {
     if (m_lost)
         return;
-    if (m_silent_since.count() != 0 &&
-        end_silent_runs(
-            now, [&](const run_state& state) { return certainly_ended(state, now); }, events))
+    if (m_silent_since.count() != 0 && end_silent_runs(now, events))
     {
         raise_fence();
         m_next_hold = now + m_settings.retry_delay;
@@ -479,14 +477,13 @@
     return events;
 }
 
-template <class Predicate>
-bool held_worker::end_silent_runs(microseconds now, const Predicate& ended, worker_events& events)
+bool held_worker::end_silent_runs(microseconds now, worker_events& events)
 {
     bool any = false;
     for (auto entry = m_runs.begin(); entry != m_runs.end();)
     {
         const auto here = entry++;
-        if (!ended(here->second))
+        if (!certainly_ended(here->second, now))
             continue;
         any = true;
         if (!here->second.foreign)
@@ -499,20 +496,6 @@
     return any;
 }
 
-void held_worker::give_up_unanswered_starts(microseconds now, worker_events& events)
-{
-    if (m_silent_since.count() == 0)
-        return;
-    end_silent_runs(
-        now,
-        [&](const run_state& state)
-        {
-            return state.at == stage::starting &&
-                   now - state.view.sent >= m_settings.unanswered_start_timeout;
-        },
-        events);
-}
-
 void held_worker::remove_run(std::map<run_ref, run_state>::iterator entry)
 {
     m_used -= entry->second.view.demand;
--- a/src/pool/held_worker.hpp
+++ b/src/pool/held_worker.hpp
@@ -32,8 +32,8 @@
     milliseconds retry_delay{60};
     // Workers' clocks run slower than this host's by up to this fraction.
     double clock_drift = 0.02;
-    // A start without an answer is given up this long after it was sent, but only on a worker that
-    // is not registered any more. Workers carry out late orders up to 12 s after they were sent.
+    // A start without an answer is no longer in doubt this long after it was sent. Workers carry
+    // out late orders up to 12 s after they were sent.
     milliseconds unanswered_start_timeout{15000};
 };
 
@@ -123,13 +123,8 @@
     // Sends a stop for a run. Its demand counts as used until the worker lists its end.
     void stop(microseconds now, const run_ref& run, std::uint64_t& next_request, action_list& out);
 
-    // Ends the starts that were sent `unanswered_start_timeout` ago or earlier and are still in
-    // doubt on a silent worker. For workers that are not registered any more: they may never
-    // answer.
-    void give_up_unanswered_starts(microseconds now, worker_events& events);
-
     // Sends holds and repeats stops that are due. Reports runs whose lease has expired on a silent
-    // worker as ended. A start in doubt has no lease yet, so it is kept until the worker answers.
+    // worker as ended. A start in doubt has no lease yet; see `unanswered_start_timeout`.
     void tick(microseconds now, std::uint64_t& next_request, action_list& out,
               worker_events& events);
     // Processes the answer to an order. Returns false if the request was not sent to this worker.
@@ -206,10 +201,9 @@
     void resolve_unlisted_runs(microseconds now, const open_order& order, const worker_reply& reply,
                                worker_events& events);
     worker_event make_end(microseconds now, const run_state& state, run_end end) const;
-    // Removes the runs of a silent worker for which `ended` returns true, and reports the own ones
-    // as ended. Returns false if there is none.
-    template <class Predicate>
-    bool end_silent_runs(microseconds now, const Predicate& ended, worker_events& events);
+    // Removes the runs of a silent worker that have certainly ended, and reports the own ones.
+    // Returns false if there is none.
+    bool end_silent_runs(microseconds now, worker_events& events);
     void remove_run(std::map<run_ref, run_state>::iterator entry);
     void mark_lost(order_result reason, worker_events& events);
     void on_worker_restart(microseconds now, const worker_reply& reply);
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -274,8 +274,8 @@
         m_late_jobs_served_at = now;
 }
 
-// Returns false if no worker could run one of the tasks. One that waits for a worker of its own
-// does not hold up the others.
+// Returns false if no worker could run one of the tasks. One that waits for a worker of its own does
+// not hold up the others. One that a silent worker may still start is passed over.
 bool worker_pool::place_tasks(microseconds now, open_job& job, action_list& out)
 {
     const auto visible_version = job.caller.host.empty() || !m_visible_version
@@ -286,9 +286,11 @@
     {
         if (task.stage != task_stage::waiting || !eligible(job, task))
             continue;
+        const auto verdict = m_crashes.verdict({job.request.id, 0, task.step, task.index});
+        if (verdict == crash_verdict::open)
+            continue;
         auto* record = choose_worker(job, task, visible_version, now);
-        if (record == nullptr &&
-            m_crashes.verdict({job.request.id, 0, task.step, task.index}) == crash_verdict::suspect)
+        if (record == nullptr && verdict == crash_verdict::suspect)
         {
             complete = false;
             continue;
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -222,8 +222,6 @@
         record.worker.set_lossy(now < m_lossy_until);
         record.worker.set_processing_delay(m_processing_delay);
         record.worker.tick(now, m_next_request, out, events);
-        if (record.unregistered)
-            record.worker.give_up_unanswered_starts(now, events);
     }
     handle_events(now, events, out);
     for (auto& [id, record] : m_workers)
