--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -274,8 +274,8 @@
         m_late_jobs_served_at = now;
 }
 
-// Returns false if no worker could run one of the tasks. One that waits for a worker of its own does
-// not hold up the others. One that a silent worker may still start is passed over.
+// Returns false if no worker could run one of the tasks. One that waits for a worker of its own
+// does not hold up the others. One that a silent worker may still start is passed over.
 bool worker_pool::place_tasks(microseconds now, open_job& job, action_list& out)
 {
     const auto visible_version = job.caller.host.empty() || !m_visible_version
--- a/tests/late_reports_test.cpp
+++ b/tests/late_reports_test.cpp
@@ -1,4 +1,5 @@
-// Workers' reports that the store carries out late, behind newer ones of the same worker (review/10).
+// Workers' reports that the store carries out late, behind newer ones of the same worker
+// (review/10).
 
 #include "tests/worker_store.hpp"
 #include <boost/test/unit_test.hpp>
@@ -60,13 +61,11 @@
 BOOST_AUTO_TEST_CASE(a_worker_stays_draining_behind_a_late_report_of_ready)
 {
     worker_store store;
-    const auto registry =
-        follow_draining(store,
-                        [&]
-                        {
-                            store.batch = encode_record({"i-1", late_report}) +
-                                          encode_record({"i-2", other_worker});
-                        });
+    const auto registry = follow_draining(store,
+                                          [&] {
+                                              store.batch = encode_record({"i-1", late_report}) +
+                                                            encode_record({"i-2", other_worker});
+                                          });
     BOOST_TEST(registry.contains("i-2"));
     BOOST_TEST(has(registry, "i-1", true));
 }
@@ -80,8 +79,7 @@
         store,
         [&]
         {
-            store.page =
-                page_of({item(R"("i-1")", late_report), item(R"("i-2")", other_worker)});
+            store.page = page_of({item(R"("i-1")", late_report), item(R"("i-2")", other_worker)});
             store.history_lost = true;
         });
     BOOST_TEST(registry.contains("i-2"));
