A job with an open start is not refused as "not run"

A start in doubt may be carried out for 15 s, but the announcement that a job may have started is kept for 10 s: a caller that came back later than that could be told "not run" of a job that then starts. Found by reading; not seen in a run.

--- a/tests/pool_crash_test.cpp
+++ b/tests/pool_crash_test.cpp
@@ -239,6 +239,50 @@
     BOOST_TEST((peer.verdict(sibling) == crash_verdict::suspect));
 }
 
+// Guards against a wrong "not run": a silent worker may still carry out a start of the job, seconds
+// after its announcement as started has expired.
+BOOST_AUTO_TEST_CASE(a_job_with_an_open_start_is_not_refused_as_not_run)
+{
+    for (const bool open : {false, true})
+    {
+        pool_host_settings settings;
+        settings.membership.self = {"h1", 1};
+        settings.membership.address = "h1";
+        settings.first_start = true;
+        pool_host host(settings);
+        action_list out;
+        host.tick({at_ms(0), 0ms}, out);
+        crash_record other({});
+        if (open)
+            other.suspect(at_ms(1), {"job", 0, 0, 0}, "w1", 7, true);
+        wire::PeerMessage message;
+        message.mutable_from()->set_name("h2");
+        message.mutable_from()->set_incarnation(1);
+        message.mutable_pool_beat()->set_sequence(1);
+        message.mutable_pool_beat()->set_address("h2");
+        other.announce(at_ms(0), *message.mutable_pool_beat()->mutable_crashes());
+        host.on_peer({at_ms(10), 10ms}, message, out);
+        worker_entry entry;
+        entry.id = entry.address = "w1";
+        entry.service = "desk";
+        entry.data_centre = "dc1";
+        entry.capacity = {16000, 32768, 0};
+        host.set_registry({at_ms(11), 11ms}, {{"w1", entry}}, out);
+        job_request job;
+        job.id = "job";
+        job.terms = {"r", "desk", 0, 3, 1.6, 60ms, 1500ms};
+        job.steps = {{1, {20000, 64, 0}, 100ms, {}, {}, {}, 0}}; // larger than the worker
+        out.clear();
+        host.on_job({at_ms(20), 20ms}, 1, job, out);
+        const auto answer = std::find_if(
+            out.begin(), out.end(),
+            [](const action& sent) { return std::holds_alternative<actions::answer_call>(sent); });
+        BOOST_REQUIRE((answer != out.end()));
+        BOOST_TEST((std::get<actions::answer_call>(*answer).answer.kind ==
+                    (open ? answer_kind::worker_lost : answer_kind::no_worker_fits)));
+    }
+}
+
 // Guards against the same where the caller of an unanswered job submits it again at a host of
 // another data centre, while the worker stays silent; and where the first pool's host has died.
 BOOST_AUTO_TEST_CASE(a_resubmitted_job_waits_for_a_start_that_another_pool_has_in_doubt)
