--- a/src/pool/call_router.cpp
+++ b/src/pool/call_router.cpp
@@ -487,7 +487,7 @@
         return {answer_kind::worker_lost, {}, "placed anew in vain: " + answer.detail};
     if (m_started.may_have_started(job))
         return {answer_kind::worker_lost, {}, "it started elsewhere: " + answer.detail};
-    // A start that a silent worker may still carry out is known for longer than that.
+    // Crashes and suspicions are kept for longer than announced starts.
     if (m_local_pool.crashes().verdict(job) != crash_verdict::none)
         return {answer_kind::worker_lost, {}, "a worker was lost under it: " + answer.detail};
     if (!m_started.reaches_back(now))
