--- a/src/pool/crash_record.hpp
+++ b/src/pool/crash_record.hpp
@@ -48,8 +48,8 @@
     // A start without an answer may have arrived after another task had crashed the worker, so it
     // counts only as one of this many. The platform permits five starts.
     std::uint32_t max_crashes_in_doubt = 3;
-    // A start without an answer may be carried out for this long after it was suspected; see
-    // held_worker_settings::unanswered_start_timeout.
+    // A start without an answer may be carried out for this long after it was suspected. The pool
+    // sets held_worker_settings::unanswered_start_timeout.
     milliseconds open_start_timeout{15000};
 };
 
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -44,7 +44,14 @@
 
 worker_pool::worker_pool(worker_pool_settings settings, std::uint64_t identity)
     : m_settings(settings), m_identity(identity & ((1ULL << fence_identity_bits) - 1)),
-      m_crashes(settings.crashes), m_evacuations(settings.evacuations)
+      m_crashes(
+          [&settings]
+          {
+              auto own_settings = settings.crashes;
+              own_settings.open_start_timeout = settings.workers.unanswered_start_timeout;
+              return own_settings;
+          }()),
+      m_evacuations(settings.evacuations)
 {
 }
 
@@ -276,9 +283,12 @@
     if (since.count() == 0)
         record.runs_suspected = false;
     if (since.count() == 0 || now - since < m_settings.suspicion_delay + m_processing_delay ||
-        record.leaving || std::exchange(record.runs_suspected, true))
+        std::exchange(record.runs_suspected, true))
         return;
-    const auto runs = record.worker.silent_runs(now);
+    auto runs = record.worker.silent_runs(now);
+    // A worker that is leaving may have ended as planned, but may also carry out a start late.
+    if (record.leaving)
+        std::erase_if(runs, [](const worker_event& run) { return !run.in_doubt; });
     for (const auto& run : runs)
         m_crashes.suspect(now, run.run.task, worker, run.start_time_ms, run.in_doubt);
     if (!runs.empty())
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -251,7 +251,7 @@
 
     // Records, once a silence, a suspicion for each run on a worker that has been silent for
     // `suspicion_delay` and the delay of this process. The worker's next answer clears or confirms
-    // it.
+    // it. On a worker that is leaving, only starts without an answer are suspected.
     void suspect_silent_runs(microseconds now, const std::string& worker, worker_record& record,
                              action_list& out);
     void log_silence(microseconds now, const std::string& worker, worker_record& record,
--- a/tests/pool_crash_test.cpp
+++ b/tests/pool_crash_test.cpp
@@ -316,6 +316,47 @@
     }
 }
 
+// Guards against two runs of one task: the silence of a worker that is leaving says nothing about a
+// crash, but a start that it has not answered may be carried out all the same.
+BOOST_AUTO_TEST_CASE(an_unanswered_start_on_a_leaving_worker_is_open)
+{
+    worker_pool pool({}, 9);
+    action_list out;
+    worker_entry entry;
+    entry.id = entry.address = "w1";
+    entry.service = "desk";
+    entry.data_centre = "dc1";
+    entry.capacity = {16000, 32768, 0};
+    worker_reply accepted;
+    accepted.result = order_result::accepted;
+    accepted.clock_ms = 5000;
+    accepted.start_time_ms = 7;
+    pool.acquire({at_ms(1), 1000ms}, entry, out);
+    pool.on_worker_reply(at_ms(2), std::get<actions::hold_worker>(out.front()).request, accepted,
+                         out);
+    job_request job;
+    job.terms = {"r", "desk", 0, 3, 1.6, 60ms, 1500ms};
+    job.steps = {{1, usual_task, 900ms, {}, {}, {}, 0}};
+    for (const char* id : {"answered", "unanswered"})
+    {
+        job.id = id;
+        out.clear();
+        pool.submit(at_ms(10), job, {{}, 0, id == std::string("answered") ? 1U : 2U}, 0ms, out);
+        for (const auto& action : action_list(out))
+            if (const auto* start = std::get_if<actions::start_run>(&action);
+                start != nullptr && job.id == "answered")
+                pool.on_worker_reply(at_ms(11), start->request, accepted, out);
+    }
+    BOOST_REQUIRE(pool.counts().starts == 2U);
+    entry.leaving = true;
+    pool.on_registry({{"w1", entry}});
+    for (std::uint64_t request = 1; request < 20; ++request)
+        pool.on_worker_reply(at_ms(70), request, {}, out);
+    pool.tick(at_ms(200), out);
+    BOOST_TEST((pool.crashes().verdict("unanswered") == crash_verdict::open));
+    BOOST_TEST((pool.crashes().verdict("answered") == crash_verdict::none));
+}
+
 BOOST_AUTO_TEST_CASE(a_suspicion_is_confirmed_by_a_new_incarnation_and_cleared_by_the_same_one)
 {
     crash_record record({});
