The longest lease of a worker comes from the settings

Found in reading the change again. A former holder's run on a silent worker counted for 1 s, a figure built into held_worker.cpp, though the platform states the longest lease that its workers grant. Where that is longer, the run would have counted as ended while it went on, and its task could have started beside it. Not seen in a run: all deployments at hand state 1,000 ms.

Change: the setting max_lease_ms, filled from bounds.max_hold_ms; 1000 if it is empty or unusable.

Result, x86-64: a_former_holders_run_counts_for_the_longest_lease_of_the_settings fails with the built-in figure and passes; the test of the template expects the setting.

--- a/src/io/edge_settings.cpp
+++ b/src/io/edge_settings.cpp
@@ -154,6 +154,9 @@
     constexpr std::int64_t max_bound_ms = 600000;
     read.optional_ms("evacuation_bound_ms", settings.evacuation_bound, default_evacuation_bound,
                      100, max_bound_ms, settings.replaced);
+    constexpr milliseconds default_max_lease{1000};
+    read.optional_ms("max_lease_ms", settings.max_lease, default_max_lease, 100, max_bound_ms,
+                     settings.replaced);
     double stop_s = static_cast<double>(settings.stop_timeout.count()) / 1000.0;
     read.number<double>("stop_limit_s", stop_s, 0.1, 3600);
     settings.stop_timeout = milliseconds{static_cast<std::int64_t>(stop_s * 1000)};
--- a/src/io/edge_settings.hpp
+++ b/src/io/edge_settings.hpp
@@ -28,6 +28,8 @@
     // Time after the operator's request by which no task may start in an evacuated data centre; 0:
     // the deployment has no such bound.
     milliseconds evacuation_bound{0};
+    // The longest lease that a worker grants; it shortens a longer one.
+    milliseconds max_lease{1000};
     // Time limit of a planned stop. The platform terminates a process that takes longer.
     milliseconds stop_timeout{6000};
     // No host of the deployment ran before this process. Until a process that may have had
--- a/src/pool/held_worker.cpp
+++ b/src/pool/held_worker.cpp
@@ -46,7 +46,6 @@
 // An answered stop takes at most 50 ms; after this time the stop or its answer may be lost.
 constexpr milliseconds stop_retry_interval{100};
 constexpr std::int64_t lease_expiry_margin_ms = 20; // workers end runs slightly after lease expiry
-constexpr std::int64_t max_lease_ms = 1000;         // workers shorten a longer lease to this
 
 } // namespace
 
@@ -123,7 +122,7 @@
     // so that its lease was not extended since.
     const auto listed_ago = static_cast<double>((now - state.view.percent_at).count()) / 1000.0;
     return listed_ago * (1 - m_settings.clock_drift) >
-           static_cast<double>(max_lease_ms + lease_expiry_margin_ms);
+           static_cast<double>(m_settings.max_lease.count() + lease_expiry_margin_ms);
 }
 
 bool held_worker::stop_in_doubt() const
--- a/src/pool/held_worker.hpp
+++ b/src/pool/held_worker.hpp
@@ -16,6 +16,8 @@
     // 1 s. A caller retries 1.3 s after a broken connection, by which time the runs of a failed
     // holder have ended.
     milliseconds lease{700};
+    // The longest lease that a worker grants, whichever a holder asks for.
+    milliseconds max_lease{1000};
     // Longest time between two holds. Two of them may be lost within one lease.
     milliseconds renew_interval{250};
     // The same while orders are being lost in the network: a lost hold delays the report of ended
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -622,6 +622,7 @@
         {"{{bounds.grace_s}}", "6"},
         {"{{bounds.config_ms}}", "2000"},
         {"{{bounds.evacuate_ms}}", "5000"},
+        {"{{bounds.max_hold_ms}}", "1200"},
         {"{{bootstrap}}", "true"},
         {"{{limits.cpu_share}}", "0.12"},
         {"{{limits.cores}}", "1.5"},
@@ -638,6 +639,7 @@
     BOOST_TEST(settings->stop_timeout.count() == 6000);
     BOOST_TEST(settings->config_bound.count() == 2000);
     BOOST_TEST(settings->evacuation_bound.count() == 5000);
+    BOOST_TEST(settings->max_lease.count() == 1200);
     BOOST_TEST(settings->first_start);
     BOOST_TEST(settings->processor_share == 0.12);
     BOOST_TEST(settings->processor_speed == 1.5);
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -501,6 +501,25 @@
     BOOST_TEST(!test.worker.has_foreign_runs());
 }
 
+// Guards against a bound of 1 s where the platform's workers grant longer leases.
+BOOST_AUTO_TEST_CASE(a_former_holders_run_counts_for_the_longest_lease_of_the_settings)
+{
+    held_worker_settings settings;
+    settings.max_lease = 3000ms;
+    worker_fixture test;
+    test.worker = held_worker(settings, make_worker_entry("w1"), 1000);
+    test.worker.tick(at_ms(1), test.next, test.out, test.events);
+    auto answer = worker_fixture::accepted(5000);
+    answer.running.push_back({{{"other", 0, 0, 3}, 4}, 10});
+    test.reply(at_ms(2), test.last<actions::hold_worker>().request, answer);
+    for (std::uint64_t request = 1; request < test.next; ++request)
+        test.worker.on_reply(at_ms(100), request, {}, test.next, test.out, test.events);
+    test.worker.tick(at_ms(3000), test.next, test.out, test.events);
+    BOOST_TEST(test.worker.has_foreign_runs());
+    test.worker.tick(at_ms(3100), test.next, test.out, test.events);
+    BOOST_TEST(!test.worker.has_foreign_runs());
+}
+
 // Guards against a worker that is held for ever: it is gone, and never answers about a start.
 BOOST_AUTO_TEST_CASE(an_unanswered_start_on_an_unregistered_worker_is_given_up)
 {
