--- a/review/standin-3/deployment.hpp
+++ b/review/standin-3/deployment.hpp
@@ -124,15 +124,15 @@
         const auto& host = m_hosts.at(name);
         const auto ip = address_of(host.machine);
         const auto at = [&](int number) { return ip + ":" + std::to_string(port(number)); };
-        std::string seeds;
-        for (int machine = 11; machine <= 13; ++machine)
-            seeds += (seeds.empty() ? "\"" : ",\"") + address_of(machine) + ":" +
-                     std::to_string(port(3)) + "\"";
+        std::string seed_list;
+        for (const int machine : seeds)
+            seed_list += (seed_list.empty() ? "\"" : ",\"") + address_of(machine) + ":" +
+                         std::to_string(port(3)) + "\"";
         std::ofstream file(settings_file(name));
         file << note << "name: \"" << name << "\"\ndata_centre: \"" << host.zone
              << "\"\ncallers: \"" << at(1) << "\"\nreadiness: \"" << at(2) << "\"\ncontrol: \""
              << at(3) << "\"\nmetrics: \"" << at(4) << "\"\npeers: \"tcp://" << at(5)
-             << "\"\nseeds: [" << seeds << "]\nstore: \"" << address_of(1) << ":" << port(0)
+             << "\"\nseeds: [" << seed_list << "]\nstore: \"" << address_of(1) << ":" << port(0)
              << "\"\nconfig_bound_ms: 2000\nevacuation_bound_ms: \nmax_lease_ms: 1000\n"
                 "stop_limit_s: 6\nfirst_start: "
              << (first_start ? "true" : "false")
@@ -258,6 +258,8 @@
     }
 
     recorder record;
+    // The machines that the settings name as seeds.
+    std::vector<int> seeds{11, 12, 13};
     std::unique_ptr<store> registry;
     std::vector<std::unique_ptr<worker>> workers;
 
--- a/review/standin-3/net.hpp
+++ b/review/standin-3/net.hpp
@@ -168,7 +168,8 @@
     using handler = std::function<reply(const message&)>;
 
     server(const std::string& ip, std::uint16_t port, handler on_request)
-        : m_handler(std::move(on_request)), m_listener(::socket(AF_INET, SOCK_STREAM, 0))
+        : m_handler(std::move(on_request)),
+          m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
         const int on = 1;
         ::setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
@@ -200,7 +201,7 @@
     {
         while (!m_stopping)
         {
-            const int fd = ::accept(m_listener, nullptr, nullptr);
+            const int fd = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
             if (fd < 0)
                 continue;
             const int on = 1;
@@ -247,7 +248,8 @@
 class connection
 {
 public:
-    connection(const std::string& ip, std::uint16_t port) : m_fd(::socket(AF_INET, SOCK_STREAM, 0))
+    connection(const std::string& ip, std::uint16_t port)
+        : m_fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
         const int on = 1;
         ::setsockopt(m_fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
