--- a/review/standin-3/deployment.hpp
+++ b/review/standin-3/deployment.hpp
@@ -274,7 +274,7 @@
     {
         return m_dir + "/" + name + ".yaml";
     }
-    // Returns the first of seven ports that are free on this deployment's first address.
+    // Returns the first of seven ports that are free on the first address of this deployment.
     int free_ports() const
     {
         std::random_device random;
@@ -285,7 +285,7 @@
             for (int number = 0; number < 7 && free; ++number)
             {
                 const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-                auto address = endpoint("0.0.0.0", static_cast<std::uint16_t>(first + number));
+                auto address = endpoint(address_of(1), static_cast<std::uint16_t>(first + number));
                 free = ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
                 ::close(fd);
             }
