--- a/harness/pool_schedule.cpp
+++ b/harness/pool_schedule.cpp
@@ -167,6 +167,7 @@
         result.complete +=
             call.answered.count() >= 0 && call.answer.kind == answer_kind::ok ? 1 : 0;
     result.starts = simulation.starts();
+    result.longest_refusal = simulation.longest_refusal_with_room();
     result.max_crashes_by_task = simulation.max_crashes_by_task();
     result.digest = simulation.digest();
     return result;
--- a/harness/pool_schedule.hpp
+++ b/harness/pool_schedule.hpp
@@ -19,9 +19,12 @@
     std::uint32_t max_crashes_by_task = 0; // workers that one task of make_task_deadly() crashed
     // Of run_restart_pool_schedule(): the shares of calls served before the restart of all hosts,
     // and from 15 s after it.
+    // Of run_estimates_pool_schedule(): the shares of sound calls served before the first burst,
+    // and after the last one.
     double served_before = 0;
     double served_after = 0;
-    std::uint64_t digest = 0; // of pool_schedule_options::draw_only
+    microseconds longest_refusal{0}; // pool_simulation::longest_refusal_with_room()
+    std::uint64_t digest = 0;        // of pool_schedule_options::draw_only
 };
 
 // The order in which the numbers of one call's arguments are drawn: that of g++ on x86-64, or that
@@ -71,6 +74,12 @@
 pool_schedule_result run_evacuation_pool_schedule(std::uint64_t seed,
                                                   const pool_schedule_options& options = {});
 
+// Runs a schedule in which callers estimate run times badly: a part of them all the time, and in
+// bursts all of them, beside restarts of hosts and slow workers. A violation is also that callers
+// with sound estimates are not served once the bursts and faults are over, though workers are idle.
+pool_schedule_result run_estimates_pool_schedule(std::uint64_t seed,
+                                                 const pool_schedule_options& options = {});
+
 // Collects the result of a run that has reached its end.
 pool_schedule_result collect_result(pool_simulation& simulation);
 
--- a/harness/pool_simulation.cpp
+++ b/harness/pool_simulation.cpp
@@ -1,4 +1,6 @@
 #include "harness/pool_simulation.hpp"
+#include <algorithm>
+#include <array>
 #include <iostream>
 
 namespace egretledge::harness
@@ -36,6 +38,12 @@
 // Messages that a host handles before other work.
 constexpr std::size_t max_message_batch = 16;
 constexpr microseconds max_start_spread{300000}; // of hosts that the platform starts together
+// After a fault, workers change hands, leases expire and late orders are resolved for this long.
+constexpr microseconds calm_delay{6000000};
+// Jobs for which there is room are refused for at most this time and a caller's wait: the longest
+// delay between two trials of a run time, and 1 s in which no job may arrive.
+constexpr microseconds max_refusal_with_room{5000000};
+constexpr microseconds placement_time{100000}; // of a job on idle workers
 
 } // namespace
 
@@ -118,6 +126,16 @@
 template <class... Arguments>
 bool pool_simulation::only_drawn(std::string_view request, const Arguments&... arguments)
 {
+    constexpr std::array<std::string_view, 8> no_faults{"settings",
+                                                        "submit",
+                                                        "estimate",
+                                                        "make_job_fail",
+                                                        "disconnect_caller",
+                                                        "lose_caller_connection",
+                                                        "reset_caller_connection",
+                                                        "reset_caller_connections"};
+    if (std::find(no_faults.begin(), no_faults.end(), request) == no_faults.end())
+        m_last_fault = m_now;
     if (!m_settings.draw_only)
         return false;
     add_to_digest(m_now);
@@ -565,6 +583,10 @@
         return;
     m_workers[index]->set_failing(failing);
     m_workers[index]->set_slow_factor(slow_factor);
+    if (failing || slow_factor != 1)
+        m_disturbed_workers.insert(index);
+    else
+        m_disturbed_workers.erase(index);
 }
 
 void pool_simulation::make_job_fail(const std::string& id)
@@ -923,8 +945,11 @@
 }
 
 void pool_simulation::submit(std::uint32_t host, const std::string& id, std::uint32_t count,
-                             resources demand, microseconds task_time, bool retries)
+                             resources demand, microseconds task_time, bool retries,
+                             std::optional<milliseconds> estimate)
 {
+    if (estimate)
+        only_drawn("estimate", microseconds{*estimate});
     if (only_drawn("submit", std::uint64_t{host}, id, std::uint64_t{count},
                    static_cast<std::uint64_t>(demand.cpu), task_time, std::uint64_t{retries}))
         return;
@@ -934,7 +959,7 @@
     job_step step;
     step.count = count;
     step.demand = demand;
-    step.estimate = std::chrono::duration_cast<milliseconds>(task_time);
+    step.estimate = estimate.value_or(std::chrono::duration_cast<milliseconds>(task_time));
     job.request.steps = {step};
     job.request.terms = {"r", service, 0, 3, 1.6, milliseconds{60}, m_settings.caller_wait};
     job.task_time = task_time;
@@ -1076,10 +1101,73 @@
         add_violation("told that it failed, without cause: " + record.job);
     if (row_of(answer.kind).result == outcome::not_run && job.starts > 0)
         add_violation("told that it has not run, but a task had started: " + record.job);
+    check_refusal(record);
     if (job.retries && retries_after(answer))
         retry_call(host, record.job);
 }
 
+bool pool_simulation::is_calm() const
+{
+    return m_now - m_last_fault >= calm_delay && m_cut_hosts.empty() && m_cut_one_way.empty() &&
+           m_cut_workers.empty() && m_unanswered_share == 0 && m_order_delays.empty() &&
+           m_disturbed_workers.empty() && m_evacuated_at.empty() && !limits_processor() &&
+           std::all_of(m_hosts.begin(), m_hosts.end(),
+                       [this](const auto& host)
+                       { return host->logic && host->logic->accepts_jobs(m_now); }) &&
+           std::all_of(m_workers.begin(), m_workers.end(),
+                       [](const auto& worker) { return worker->up(); });
+}
+
+bool pool_simulation::has_room_for(const job_record& job) const
+{
+    struct idle_count
+    {
+        std::size_t workers = 0;
+        std::size_t idle = 0;
+        std::int64_t slots = 0;
+    };
+    const auto& step = job.request.steps[0];
+    std::map<std::string, idle_count> centres;
+    for (const auto& worker : m_workers)
+    {
+        auto& centre = centres[worker->entry().data_centre];
+        ++centre.workers;
+        if (worker->running() > 0)
+            continue;
+        ++centre.idle;
+        centre.slots += worker->entry().capacity.cpu / std::max<std::int64_t>(1, step.demand.cpu);
+    }
+    return std::any_of(centres.begin(), centres.end(),
+                       [&](const auto& entry)
+                       {
+                           const auto& centre = entry.second;
+                           return centre.idle * 4 >= centre.workers * 3 &&
+                                  centre.slots >= 2 * static_cast<std::int64_t>(step.count);
+                       });
+}
+
+void pool_simulation::check_refusal(const call_record& call)
+{
+    const auto& job = m_jobs.at(call.job);
+    const bool calm = is_calm();
+    const auto run_time =
+        std::max<microseconds>(job.task_time, job.request.steps[0].estimate) + placement_time;
+    if (!calm)
+        m_refused_since = microseconds{-1};
+    if (!calm || run_time > job.request.terms.wait || m_failing_jobs.contains(call.job))
+        return;
+    if (call.answer.kind == answer_kind::ok)
+        m_refused_since = microseconds{-1};
+    if (row_of(call.answer.kind).result != outcome::not_run || !has_room_for(job))
+        return;
+    if (m_refused_since.count() < 0)
+        m_refused_since = m_now;
+    m_longest_refusal = std::max(m_longest_refusal, m_now - m_refused_since);
+    if (m_now - m_refused_since > max_refusal_with_room + job.request.terms.wait)
+        add_violation("refused for " + std::to_string((m_now - m_refused_since).count() / 1000) +
+                      " ms although there is room: " + call.job);
+}
+
 bool pool_simulation::retries_after(const call_answer& answer) const
 {
     const auto result = row_of(answer.kind).result;
--- a/harness/pool_simulation.hpp
+++ b/harness/pool_simulation.hpp
@@ -11,6 +11,9 @@
 // - No caller receives "not run" for a job of which a task has started.
 // - A call is answered as complete only if every task of its job is done.
 // - Every call is answered exactly once.
+// - No job is refused for want of room for longer than `max_refusal_with_room`, if its declared and
+//   its actual run time allow it to end in time and the workers of a data centre are nearly idle,
+//   except during a fault and shortly after it.
 // - A job is answered as failed only if one of its tasks used up its attempts or was on two workers
 //   when they crashed.
 // - A task that crashes its workers is started at most twice after it has crashed three of them.
@@ -97,8 +100,10 @@
     // Submits a job of `count` equal tasks to a host. If `retries` is set, the caller submits the
     // job again 1.3 s after a failure; pool_simulation_settings::platform_callers says which
     // failures.
+    // `estimate` is the run time that the caller declares: `task_time` unless it is given.
     void submit(std::uint32_t host, const std::string& id, std::uint32_t count,
-                pool::resources demand, microseconds task_time, bool retries = false);
+                pool::resources demand, microseconds task_time, bool retries = false,
+                std::optional<milliseconds> estimate = std::nullopt);
     // Closes the connection of the job's open call. The host is notified and the caller does not
     // retry.
     void disconnect_caller(const std::string& id);
@@ -224,6 +229,8 @@
     const std::vector<call_record>& calls() const { return m_calls; }
     // Returns a null pointer if the job is unknown.
     const call_record* last_call(const std::string& job) const;
+    // Returns the longest time for which jobs were refused although there was room for them.
+    microseconds longest_refusal_with_room() const { return m_longest_refusal; }
     // Returns the number of task runs that workers started.
     std::size_t starts() const { return m_starts; }
     // Checks the invariants that concern whole jobs and calls, and returns all violations of the
@@ -328,6 +335,13 @@
     void poll_hold(std::uint32_t host, std::uint64_t incarnation, std::uint32_t worker,
                    pool::actions::hold_worker order, microseconds until);
     void on_answer(std::uint32_t host, std::uint64_t call, const pool::call_answer& answer);
+    // Returns true if no fault is in force and the last one has been over for `calm_delay`.
+    bool is_calm() const;
+    // Returns true if the workers of some data centre are nearly idle and have room for two such
+    // jobs.
+    bool has_room_for(const job_record& job) const;
+    // Checks how long jobs have been refused although there was room for them.
+    void check_refusal(const call_record& call);
     void break_open_calls(std::uint32_t host);
     // Schedules the caller's next submission, at the host after `host` or, with platform callers,
     // at a host chosen by the platform's rules. Platform callers stop after `max_calls` calls.
@@ -383,6 +397,12 @@
     std::map<std::uint64_t, std::string> m_open_queries; // call -> job
     std::vector<answered_query> m_answered_queries;
     std::vector<std::string> m_violations;
+    microseconds m_last_fault{0}; // a fault began, ended or changed
+    std::set<std::uint32_t> m_disturbed_workers;
+    // Since then jobs for which there was room have been refused and none was served; -1: none was
+    // refused.
+    microseconds m_refused_since{-1};
+    microseconds m_longest_refusal{0};
     std::size_t m_starts = 0;
     std::map<std::uint32_t, microseconds> m_order_delays; // by worker
     double m_unanswered_share = 0;
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -143,15 +143,20 @@
                        { return worker->configured && worker->settings.fits(service); });
 }
 
-milliseconds dispatcher::expected_run_time(const std::string& service,
+milliseconds dispatcher::declared_run_time(const std::string& service,
                                            std::uint32_t declared_ms) const
 {
     const auto* service_settings = service_of(service);
-    const auto declared = declared_ms > 0 ? declared_ms
-                          : service_settings != nullptr
-                              ? static_cast<std::uint32_t>(service_settings->run_time_ms)
-                              : 1;
-    return m_run_times.expect(service, milliseconds{declared});
+    return milliseconds{declared_ms > 0 ? declared_ms
+                        : service_settings != nullptr
+                            ? static_cast<std::uint32_t>(service_settings->run_time_ms)
+                            : 1};
+}
+
+milliseconds dispatcher::expected_run_time(microseconds now, const std::string& service,
+                                           std::uint32_t declared_ms) const
+{
+    return m_run_times.expect(now, service, declared_run_time(service, declared_ms));
 }
 
 double dispatcher::usable_slots() const
@@ -175,7 +180,7 @@
     return milliseconds{static_cast<std::int64_t>(wait_ms)};
 }
 
-void dispatcher::enqueue(open_job& job, instant)
+void dispatcher::enqueue(open_job& job, instant now)
 {
     const double slots = usable_slots();
     for (auto task = job.tasks.size(); task-- > 0;)
@@ -183,14 +188,15 @@
         if (job.tasks[task].state != run_state::not_started)
             continue;
         m_queue.add(job, static_cast<std::uint32_t>(task),
-                    expected_run_time(job.service, job.tasks[task].size_ms), slots);
+                    expected_run_time(now.steady, job.service, job.tasks[task].size_ms), slots);
     }
 }
 
-void dispatcher::requeue(open_job& job, std::uint32_t task, instant)
+void dispatcher::requeue(open_job& job, std::uint32_t task, instant now)
 {
     job.tasks[task].state = run_state::not_started;
-    m_queue.add(job, task, expected_run_time(job.service, job.tasks[task].size_ms), usable_slots());
+    m_queue.add(job, task, expected_run_time(now.steady, job.service, job.tasks[task].size_ms),
+                usable_slots());
 }
 
 std::string dispatcher::worker_name(std::uint32_t index) const
@@ -485,7 +491,7 @@
     start.sent = now.steady;
     worker.outstanding.emplace(order.sequence, std::move(start));
     ++m_outstanding_count;
-    m_queue.pop(next, expected_run_time(job.service, task.size_ms));
+    m_queue.pop(next, expected_run_time(now.steady, job.service, task.size_ms));
     task.state = run_state::start_sent;
     task.worker = index;
     task.sequence = order.sequence;
@@ -745,7 +751,7 @@
     const auto service = start->second.service;
     const bool success = line.end == task_end::done;
     if (success)
-        learn_run_time(start->second, line);
+        learn_run_time(now.steady, start->second, line);
     if (line.end == task_end::stopped && worker.health == worker_health::on_test)
         worker.health = worker_health::quarantined;
     if (line.end != task_end::stopped)
@@ -759,13 +765,13 @@
                       std::move(line.output), worker.settings.name});
 }
 
-void dispatcher::learn_run_time(const outstanding_start& start, const result_line& line)
+void dispatcher::learn_run_time(microseconds now, const outstanding_start& start,
+                                const result_line& line)
 {
-    const auto* service = service_of(start.service);
-    if (start.job == nullptr || service == nullptr)
+    if (start.job == nullptr || service_of(start.service) == nullptr)
         return;
     const auto declared = start.job->tasks[start.task].size_ms;
-    m_run_times.learn(start.service, milliseconds{declared > 0 ? declared : service->run_time_ms},
+    m_run_times.learn(now, start.service, declared_run_time(start.service, declared),
                       microseconds{line.ran_us});
 }
 
--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -109,9 +109,12 @@
     // queued tasks divided by the usable slots.
     milliseconds expected_wait() const;
     bool over_quota(const std::string& team) const;
-    // Returns the expected run time of a task of `service`, corrected by the run times observed.
-    // If `declared_ms` is 0, the service's configured run time is used.
-    milliseconds expected_run_time(const std::string& service, std::uint32_t declared_ms) const;
+    // Returns the declared run time of a task of `service`: the service's configured one if
+    // `declared_ms` is 0.
+    milliseconds declared_run_time(const std::string& service, std::uint32_t declared_ms) const;
+    // Returns that run time, corrected by the run times observed.
+    milliseconds expected_run_time(microseconds now, const std::string& service,
+                                   std::uint32_t declared_ms) const;
     // Returns true if at least one configured worker can run tasks of `service`.
     bool any_worker_fits(const service_object& service) const;
 
@@ -164,7 +167,7 @@
     void update_health(instant now, worker_view& worker, const std::string& service, bool success);
     void quarantine(instant now, worker_view& worker, const policy_object& policy);
     bool fits_all_workers(const service_object& service) const;
-    void learn_run_time(const outstanding_start& start, const result_line& line);
+    void learn_run_time(microseconds now, const outstanding_start& start, const result_line& line);
     void update_load(instant now, worker_view& worker, std::uint32_t all_tasks);
     // Returns how many more tasks the worker may be sent: its free slots plus `queue_ahead`.
     std::uint32_t free_capacity(const worker_view& worker, std::uint32_t queue_ahead,
--- a/src/core/job_owner.cpp
+++ b/src/core/job_owner.cpp
@@ -315,7 +315,8 @@
     return job;
 }
 
-bool job_owner::refuse_if_infeasible(const wire::Call& request, wire::Answer& answer) const
+bool job_owner::refuse_if_infeasible(instant now, const wire::Call& request,
+                                     wire::Answer& answer) const
 {
     const auto& service = *service_of(request.job().service());
     if (!m_dispatcher.any_worker_fits(service))
@@ -326,7 +327,7 @@
     std::uint32_t max_size_ms = 0;
     for (const auto& task : request.job().tasks())
         max_size_ms = std::max(max_size_ms, task.size_ms());
-    const auto run = m_dispatcher.expected_run_time(service.name, max_size_ms);
+    const auto run = m_dispatcher.expected_run_time(now.steady, service.name, max_size_ms);
     const auto wait = m_dispatcher.expected_wait();
     const auto limit = milliseconds{m_config->policy_of(service).admission_wait_ms};
     const auto remaining = milliseconds{request.remaining_ms()};
@@ -368,7 +369,7 @@
                              "at most " + std::to_string(m_settings.max_tasks) + " tasks a job");
         return call_status::answered;
     }
-    if (refuse_if_infeasible(request, answer))
+    if (refuse_if_infeasible(now, request, answer))
     {
         if (!request_refusal(now, shard, key.made))
             return call_status::wait;
--- a/src/core/job_owner.hpp
+++ b/src/core/job_owner.hpp
@@ -110,7 +110,7 @@
                      const job_id& id, const recovered_job& record);
     // Sets `answer` and returns true if no worker fits the job, or if the expected wait exceeds
     // the admission limit or leaves too little time before the deadline.
-    bool refuse_if_infeasible(const wire::Call& request, wire::Answer& answer) const;
+    bool refuse_if_infeasible(instant now, const wire::Call& request, wire::Answer& answer) const;
     open_job& open(instant now, std::uint64_t call, const wire::Call& request, const job_key& key,
                    const job_id& id);
     // Copies the body into the job. The known state of its tasks stays.
--- a/src/io/edge_metrics.cpp
+++ b/src/io/edge_metrics.cpp
@@ -70,7 +70,10 @@
     pool_count_row{"tasks_failed", &pool::worker_pool::totals::failed},
     pool_count_row{"runs_wasted", &pool::worker_pool::totals::wasted},
     pool_count_row{"orders_in_doubt", &pool::worker_pool::totals::in_doubt},
-    pool_count_row{"workers_lost", &pool::worker_pool::totals::lost_workers}};
+    pool_count_row{"workers_lost", &pool::worker_pool::totals::lost_workers},
+    pool_count_row{"jobs_refused_for_run_time", &pool::worker_pool::totals::refused_for_run_time},
+    pool_count_row{"run_time_trials", &pool::worker_pool::totals::trials},
+    pool_count_row{"run_time_trials_served", &pool::worker_pool::totals::trials_served}};
 
 struct host_count_row
 {
@@ -170,6 +173,26 @@
     gauge_row{"egretledge_pool_wait_ms", "Expected wait of a new task",
               [](const pool::pool_host& host, instant now)
               { return static_cast<double>(host.workers().expected_wait(now.steady).count()); }},
+    gauge_row{"egretledge_pool_closed_routes",
+              "Routes that refuse jobs because of their learned run time",
+              [](const pool::pool_host& host, instant)
+              { return static_cast<double>(host.workers().closed_routes()); }},
+    gauge_row{"egretledge_pool_max_run_time_ratio",
+              "Highest learned ratio of actual to declared run time of a route",
+              [](const pool::pool_host& host, instant now)
+              {
+                  const auto highest = host.workers().highest_run_time_ratio(now.steady);
+                  return highest ? highest->ratio : 0.0;
+              }},
+    gauge_row{
+        "egretledge_pool_max_run_time_ratio_age_seconds",
+        "Time since the latest run that this ratio was learned from",
+        [](const pool::pool_host& host, instant now)
+        {
+            const auto highest = host.workers().highest_run_time_ratio(now.steady);
+            return highest ? std::chrono::duration<double>(now.steady - highest->learned_at).count()
+                           : 0.0;
+        }},
     gauge_row{"egretledge_evacuated_data_centres", "Data centres in which no task may start",
               [](const pool::pool_host& host, instant now)
               { return static_cast<double>(host.evacuated_data_centres(now.steady).size()); }},
--- a/src/pool/admission.cpp
+++ b/src/pool/admission.cpp
@@ -60,9 +60,26 @@
 
 } // namespace
 
-milliseconds worker_pool::expected_run_time(const job_request& job, const job_step& step) const
+milliseconds worker_pool::expected_run_time(microseconds now, const job_request& job,
+                                            const job_step& step) const
 {
-    return std::max(milliseconds{1}, m_run_times.expect(job.terms.route, step.estimate));
+    return std::max(milliseconds{1}, m_run_times.expect(now, job.terms.route, step.estimate));
+}
+
+void worker_pool::set_run_times(open_job& job, const std::vector<milliseconds>& run_times)
+{
+    job.run_times = run_times;
+    job.critical_path = milliseconds{0};
+    std::vector<milliseconds> chain;
+    for (std::size_t step = 0; step < job.request.steps.size(); ++step)
+    {
+        milliseconds before{0};
+        for (const auto earlier : job.request.steps[step].after)
+            before = std::max(before, chain[earlier]);
+        chain.push_back(before + run_times[step]);
+        job.critical_path = std::max(job.critical_path, chain.back());
+    }
+    job.objective = job.arrived + time_allowed(job.request.terms, job.critical_path);
 }
 
 std::int64_t worker_pool::slot_cpu(const job_request* asking) const
@@ -105,9 +122,7 @@
             // A run of an earlier submission of the job may be of a step that this one lacks.
             if (job != m_jobs.end() && view.run.task.step < job->second.request.steps.size())
             {
-                const auto& request = job->second.request;
-                const microseconds time =
-                    expected_run_time(request, request.steps[view.run.task.step]);
+                const microseconds time = job->second.run_times[view.run.task.step];
                 left = std::max(view.sent + time - now,
                                 std::chrono::duration_cast<microseconds>(time * overdue_share));
             }
@@ -132,10 +147,8 @@
     for (const auto& [id, job] : m_jobs)
         for (const auto& task : job.tasks)
             if (task.stage == task_stage::waiting)
-            {
-                const auto& step = job.request.steps[task.step];
-                schedule.add(slots_of(step.demand, size), expected_run_time(job.request, step));
-            }
+                schedule.add(slots_of(job.request.steps[task.step].demand, size),
+                             job.run_times[task.step]);
     return m_processing_delay +
            std::chrono::duration_cast<milliseconds>(schedule.next_free() - now);
 }
@@ -179,9 +192,8 @@
     {
         if (task.stage != task_stage::waiting)
             continue;
-        const auto& step = job.request.steps[task.step];
-        pending.tasks.emplace_back(slots_of(step.demand, slot_cpu),
-                                   expected_run_time(job.request, step));
+        pending.tasks.emplace_back(slots_of(job.request.steps[task.step].demand, slot_cpu),
+                                   job.run_times[task.step]);
     }
     return pending;
 }
@@ -209,6 +221,8 @@
                     [&](const job_step& step)
                     { return evacuated_step(job.request, step, false, now); }))
         return refusal(answer_kind::no_worker_fits, now, "the data centre is evacuated");
+    if (cannot_end_in_time(job, now))
+        return refusal(answer_kind::over_capacity, now, describe_run_time(job, now));
     const auto size = slot_cpu(&job.request);
     const auto schedule = worker_slots(now, size);
     if (schedule.empty())
@@ -252,6 +266,92 @@
     return {kind, std::max(m_settings.min_retry_after, expected_wait(now)), std::move(detail)};
 }
 
+std::string worker_pool::describe_run_time(const open_job& job, microseconds now) const
+{
+    const auto figure = m_run_times.find(now, job.request.terms.route);
+    const auto in_ms = [&](microseconds time)
+    { return std::to_string(std::chrono::duration_cast<milliseconds>(time).count()); };
+    return "run_time_ms=" + std::to_string(job.critical_path.count()) +
+           " limit_in_ms=" + in_ms(limit_of(job, m_settings.late_factor) - now) +
+           (figure ? " ratio=" + std::to_string(figure->ratio) +
+                         " samples=" + std::to_string(figure->samples) +
+                         " sample_age_ms=" + in_ms(now - figure->learned_at)
+                   : std::string{" ratio=none"});
+}
+
+bool worker_pool::has_room_now(const open_job& job, microseconds now) const
+{
+    const auto size = slot_cpu(&job.request);
+    std::size_t needed = 0;
+    const auto count = [&](const open_job& waiting)
+    {
+        for (const auto& task : waiting.tasks)
+            if (task.stage == task_stage::waiting)
+                needed += slots_of(waiting.request.steps[task.step].demand, size);
+    };
+    count(job);
+    for (const auto& [id, other] : m_jobs)
+        count(other);
+    return needed <= worker_slots(now, size).count_free(now);
+}
+
+std::vector<milliseconds> worker_pool::declared_run_times(const job_request& job)
+{
+    std::vector<milliseconds> times;
+    for (const auto& step : job.steps)
+        times.push_back(std::max(milliseconds{1}, step.estimate));
+    return times;
+}
+
+bool worker_pool::begin_trial(microseconds now, open_job& job, action_list& out)
+{
+    const auto& route = job.request.terms.route;
+    auto trial = job;
+    set_run_times(trial, declared_run_times(job.request));
+    if (cannot_end_in_time(trial, now))
+        return false;
+    const auto max_trials =
+        std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(m_workers.size()) *
+                                                          m_settings.max_trials_per_worker));
+    const auto declared = " declared_ms=" + std::to_string(trial.critical_path.count()) + " ";
+    if (m_trials.unproven() >= max_trials || !m_trials.may_begin(now, route) ||
+        !has_room_now(trial, now))
+    {
+        ++m_totals.refused_for_run_time;
+        if (m_trials.refuse(now, route, trial.critical_path))
+            out.push_back(actions::log_event{true, "event=route_closed route=" + route +
+                                                       " job=" + job.request.id + declared +
+                                                       describe_run_time(job, now)});
+        return false;
+    }
+    out.push_back(actions::log_event{false, "event=run_time_trial job=" + job.request.id +
+                                                " route=" + route + declared +
+                                                describe_run_time(job, now)});
+    job = std::move(trial);
+    job.on_trial = true;
+    m_trials.begin(now, route);
+    ++m_totals.trials;
+    return true;
+}
+
+void worker_pool::end_closure(microseconds now, const open_job& job, action_list& out)
+{
+    if (m_trials.closed() == 0)
+        return;
+    auto declared = job;
+    set_run_times(declared, declared_run_times(job.request));
+    const auto& route = job.request.terms.route;
+    const auto closure = m_trials.admit(route, declared.critical_path);
+    if (!closure)
+        return;
+    const auto closed_for = std::chrono::duration_cast<milliseconds>(now - closure->since);
+    out.push_back(actions::log_event{true, "event=route_reopened route=" + route +
+                                               " closed_ms=" + std::to_string(closed_for.count()) +
+                                               " refused=" + std::to_string(closure->refused) +
+                                               " trials=" + std::to_string(closure->trials) +
+                                               " served=" + std::to_string(closure->served)});
+}
+
 void worker_pool::submit(microseconds now, job_request request, const caller_ref& caller,
                          milliseconds age, action_list& out)
 {
@@ -276,14 +376,10 @@
     job.caller = caller;
     job.arrived = now - age;
     job.accepted_at = now;
-    std::vector<milliseconds> chain;
+    std::vector<milliseconds> run_times;
     for (const auto& step : job.request.steps)
     {
-        milliseconds before{0};
-        for (const auto earlier : step.after)
-            before = std::max(before, chain[earlier]);
-        chain.push_back(before + expected_run_time(job.request, step));
-        job.critical_path = std::max(job.critical_path, chain.back());
+        run_times.push_back(expected_run_time(now, job.request, step));
         job.step_left.push_back(step.count);
         for (std::uint32_t index = 0; index < step.count; ++index)
         {
@@ -294,16 +390,21 @@
         }
     }
     job.waiting = job.left = static_cast<std::uint32_t>(job.tasks.size());
-    const auto& terms = job.request.terms;
-    job.objective = job.arrived + time_allowed(terms, job.critical_path);
-    job.deadline = job.arrived + microseconds{terms.wait};
+    set_run_times(job, run_times);
+    job.deadline = job.arrived + microseconds{job.request.terms.wait};
     if (const auto answer = answer_to(m_crashes.verdict(job.request.id)))
     {
         log_job(job, *answer, now, out);
         m_results.push_back({caller, job.request.id, *answer, false});
         return;
     }
-    if (auto refused = evaluate_admission(now, job))
+    auto refused = evaluate_admission(now, job);
+    if (!refused)
+        end_closure(now, job, out);
+    else if (refused->kind == answer_kind::over_capacity && cannot_end_in_time(job, now) &&
+             begin_trial(now, job, out))
+        refused.reset();
+    if (refused)
     {
         const bool former_runs = ending(job.request.id);
         if (former_runs)
--- a/src/pool/placement.cpp
+++ b/src/pool/placement.cpp
@@ -85,7 +85,7 @@
     const bool alone = m_crashes.verdict(name) == crash_verdict::suspect;
     if (!alone && step.demand.cpu > m_largest_free_cpu)
         return nullptr;
-    const auto time = static_cast<double>(expected_run_time(job.request, step).count());
+    const auto time = static_cast<double>(job.run_times[task.step].count());
     const auto placed_siblings = [&](const std::string& worker)
     {
         return static_cast<std::uint32_t>(std::count_if(job.tasks.begin(), job.tasks.end(),
--- a/src/pool/slot_schedule.hpp
+++ b/src/pool/slot_schedule.hpp
@@ -24,6 +24,12 @@
         }
     }
     bool empty() const { return m_free.empty(); }
+    // Returns how many slots are free at this time.
+    std::size_t count_free(microseconds time) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            m_free.begin(), m_free.end(), [time](microseconds free) { return free <= time; }));
+    }
     // Returns when the next slot becomes free. The schedule must not be empty.
     microseconds next_free() const { return m_free.front(); }
     // Adds a task that takes `count` slots for `time`, or all slots if there are fewer. Returns
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -477,15 +477,15 @@
     return true;
 }
 
-void worker_pool::learn(worker_record& record, const open_job& job, const task_state& task,
-                        microseconds ran)
+void worker_pool::learn(microseconds now, worker_record& record, const open_job& job,
+                        const task_state& task, microseconds ran)
 {
     const auto& step = job.request.steps[task.step];
-    const auto time = expected_run_time(job.request, step);
+    const auto time = expected_run_time(now, job.request, step);
     const double ratio =
         static_cast<double>(ran.count()) / static_cast<double>(microseconds{time}.count());
     record.slowness += slowness_rate * (ratio - record.slowness);
-    m_run_times.learn(job.request.terms.route, step.estimate, ran);
+    m_run_times.learn(now, job.request.terms.route, step.estimate, ran);
 }
 
 void worker_pool::on_ended(microseconds now, const worker_event& event, action_list& out)
@@ -507,7 +507,7 @@
         --job->step_left[task->step];
         if (record != nullptr)
         {
-            learn(*record, *job, *task, event.ran);
+            learn(now, *record, *job, *task, event.ran);
             record->failures = 0;
             record->probation = false;
             record->quarantine = milliseconds{0};
@@ -627,6 +627,12 @@
 {
     log_job(job, answer, now, out);
     stop_runs(now, job, out);
+    if (job.on_trial)
+    {
+        const bool served = answer.kind == answer_kind::ok;
+        m_trials.end(now, job.request.terms.route, served);
+        m_totals.trials_served += served ? 1 : 0;
+    }
     const auto id = job.request.id;
     m_by_caller.erase(job.caller);
     m_results.push_back({job.caller, id, std::move(answer), declined});
@@ -692,7 +698,7 @@
     {
         if (now >= job.deadline)
             overdue.push_back(id);
-        else if (job.starts == 0 && now + job.critical_path > limit_of(job, m_settings.late_factor))
+        else if (job.starts == 0 && cannot_end_in_time(job, now))
             unstartable.push_back(id);
     }
     for (const auto& id : unstartable)
@@ -720,7 +726,7 @@
             auto* job = find(view.run.task, task);
             if (job == nullptr)
                 continue;
-            const auto time = expected_run_time(job->request, job->request.steps[task->step]);
+            const auto time = job->run_times[task->step];
             const auto limit =
                 std::chrono::duration_cast<microseconds>(time * m_settings.stuck_factor) +
                 microseconds{m_settings.stuck_slack};
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -4,6 +4,7 @@
 // The workers that this host holds, and the jobs that it runs on them. A job is submitted together
 // with a reference to the call that waits for it; its outcome is reported once, as a pool_result.
 
+#include "core/run_time_trials.hpp"
 #include "core/run_times.hpp"
 #include "pool/crash_record.hpp"
 #include "pool/evacuations.hpp"
@@ -53,6 +54,9 @@
     milliseconds lossy_period{2000};
     // The shortest Retry-After sent to callers: the unit of the header is a second.
     milliseconds min_retry_after{1000};
+    // Unproven trials of run times (run_time_trials) that may run for each worker, but one in any
+    // case.
+    double max_trials_per_worker = 0.125;
     // At most this share of the workers, but one of them in any case, is reserved for tasks that
     // have to run alone: a crash makes as many such tasks as the worker had runs, 2 to 8.
     double max_reserved_share = 0.25;
@@ -194,8 +198,20 @@
         std::uint64_t wasted = 0;   // runs that were stopped, lapsed or broken
         std::uint64_t in_doubt = 0; // orders without an answer
         std::uint64_t lost_workers = 0;
+        // Jobs refused because their learned run time is longer than their callers wait; jobs that
+        // were admitted all the same to check it, and those of them that were complete in time.
+        std::uint64_t refused_for_run_time = 0;
+        std::uint64_t trials = 0;
+        std::uint64_t trials_served = 0;
     };
     const totals& counts() const { return m_totals; }
+    // Number of routes that refuse jobs because of their learned run time.
+    std::size_t closed_routes() const { return m_trials.closed(); }
+    // The highest learned ratio of actual to declared run time, of all routes.
+    std::optional<run_times::figure> highest_run_time_ratio(microseconds now) const
+    {
+        return m_run_times.highest(now);
+    }
 
 private:
     enum class task_stage : std::uint8_t
@@ -219,10 +235,12 @@
         job_request request;
         caller_ref caller;
         microseconds arrived{0};
-        microseconds accepted_at{0};   // by this pool
-        microseconds objective{0};     // on time if it ends by then
-        microseconds deadline{0};      // the caller stops waiting
-        milliseconds critical_path{0}; // expected run time of its longest chain of steps
+        microseconds accepted_at{0};         // by this pool
+        microseconds objective{0};           // on time if it ends by then
+        microseconds deadline{0};            // the caller stops waiting
+        std::vector<milliseconds> run_times; // expected of each step's tasks, at least 1 ms
+        milliseconds critical_path{0};       // expected run time of its longest chain of steps
+        bool on_trial = false;               // see run_time_trials
         std::vector<task_state> tasks;
         std::vector<std::uint32_t> step_left; // tasks of each step that are not done
         std::uint32_t waiting = 0;            // tasks that are not placed
@@ -257,7 +275,27 @@
     void log_silence(microseconds now, const std::string& worker, worker_record& record,
                      action_list& out) const;
     // Returns the learned run time of a task of this step, at least 1 ms.
-    milliseconds expected_run_time(const job_request& job, const job_step& step) const;
+    milliseconds expected_run_time(microseconds now, const job_request& job,
+                                   const job_step& step) const;
+    // Sets the run times of the job's steps, and its critical path and objective accordingly.
+    static void set_run_times(open_job& job, const std::vector<milliseconds>& run_times);
+    // Returns true if the job would end too late for its caller if all of its tasks that can start
+    // did so now.
+    bool cannot_end_in_time(const open_job& job, microseconds now) const
+    {
+        return now + job.critical_path > limit_of(job, m_settings.late_factor);
+    }
+    // Returns the job's expected run time and what it rests on, as key=value pairs.
+    std::string describe_run_time(const open_job& job, microseconds now) const;
+    // Returns true if all waiting tasks, those of this new job included, find free slots now.
+    bool has_room_now(const open_job& job, microseconds now) const;
+    static std::vector<milliseconds> declared_run_times(const job_request& job);
+    // Admits a job whose learned run time is too long with its declared run time, if that allows
+    // it, there is room for it now, and a trial of its route may begin. Otherwise returns false,
+    // and counts the refusal if it rests on the learned run time.
+    bool begin_trial(microseconds now, open_job& job, action_list& out);
+    // Logs that a route admits again what it refused for its learned run time.
+    void end_closure(microseconds now, const open_job& job, action_list& out);
     // Returns true if a task may be placed on the worker now, capacity aside. `begun`: an earlier
     // task of its job has started.
     bool accepts(const worker_record& record, microseconds now, bool begun = false) const;
@@ -305,7 +343,7 @@
     void task_failed(microseconds now, worker_record* record, open_job& job, task_state& task,
                      action_list& out);
     // Updates the worker's slowness and the route's run times from a run that took `ran`.
-    void learn(worker_record& record, const open_job& job, const task_state& task,
+    void learn(microseconds now, worker_record& record, const open_job& job, const task_state& task,
                microseconds ran);
     void expire_jobs(microseconds now, action_list& out);
     void stop_stuck_runs(microseconds now, action_list& out);
@@ -368,6 +406,7 @@
     // has acquired the worker, else the maximum.
     std::map<std::string, std::map<run_ref, microseconds>> m_former;
     run_times m_run_times;
+    run_time_trials m_trials;
     crash_record m_crashes;
     evacuations m_evacuations;
     resources m_usual_demand;            // of the most recently placed task
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -95,6 +95,17 @@
     BOOST_TEST(has_line(metrics.text(host, now, {}), "egretledge_evacuated_data_centres 0"));
 }
 
+// Guards against a route that refuses its callers for a learned run time without a trace in the
+// metrics.
+BOOST_AUTO_TEST_CASE(gauges_report_learned_run_times_and_closed_routes)
+{
+    edge_metrics metrics;
+    const auto text = metrics.text(make_host(), {10s, 1000ms}, {});
+    BOOST_TEST(has_line(text, "egretledge_pool_closed_routes 0"));
+    BOOST_TEST(has_line(text, "egretledge_pool_max_run_time_ratio 0"));
+    BOOST_TEST(has_line(text, "egretledge_pool_max_run_time_ratio_age_seconds 0"));
+}
+
 BOOST_AUTO_TEST_CASE(each_answer_outcome_maps_to_its_latency_histogram)
 {
     BOOST_TEST((latency_of(answer_kind::ok) == latency::call_complete));
