Judge no run as stuck within its declared run time

Callers saw: a queue whose callers send no estimate serves no task of more than 306 ms; nor does one whose earlier callers declared far too much. All tasks are stopped and started elsewhere until their callers' time is over.

No estimate counted as 1 ms. Stopped runs teach no run time, so that the expected one stays too short: the same class as a refusal that starves its own samples.

Fix: the longer of the declared and the learned time counts, and a run without an estimate is not judged.

Tests, failed before with 0 of the calls served (former code with the new harness): a_task_without_an_estimate_is_not_stopped_as_stuck and a_low_learned_run_time_stops_no_run_within_its_declared_time.

--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -726,7 +726,10 @@
             auto* job = find(view.run.task, task);
             if (job == nullptr)
                 continue;
-            const auto time = job->run_times[task->step];
+            const auto declared = job->request.steps[task->step].estimate;
+            if (declared.count() == 0)
+                continue;
+            const auto time = std::max(job->run_times[task->step], declared);
             const auto limit =
                 std::chrono::duration_cast<microseconds>(time * m_settings.stuck_factor) +
                 microseconds{m_settings.stuck_slack};
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -30,7 +30,8 @@
     // are on time: in a busy pool a task ends every 5 to 15 ms.
     milliseconds starvation_timeout{50};
     // A task counts as stuck if it has made less than half of its progress after `stuck_factor`
-    // times its expected run time plus `stuck_slack`.
+    // times its expected or its declared run time, whichever is longer, plus `stuck_slack`. One
+    // that declares none never does: stopped runs teach no run time.
     double stuck_factor = 3;
     milliseconds stuck_slack{150};
     // A worker is quarantined after this many consecutive failures of tasks that had not failed
--- a/tests/pool_estimates_test.cpp
+++ b/tests/pool_estimates_test.cpp
@@ -105,6 +105,32 @@
     BOOST_TEST(served_share(world, 9s, 20s) == 1.0);
 }
 
+// Guards against a queue in which no task ever ends: without an estimate a run was expected to end
+// after 1 ms and stopped as stuck after 153 ms, and stopped runs teach nothing.
+BOOST_AUTO_TEST_CASE(a_task_without_an_estimate_is_not_stopped_as_stuck)
+{
+    pool_simulation world(one_centre());
+    submit_jobs(world, 3s, 9s, [](int) { return 0ms; });
+    world.run_until(13s);
+    for (const auto& violation : world.violations())
+        BOOST_ERROR(violation);
+    BOOST_TEST(served_share(world, 3s, 9s) == 1.0);
+}
+
+// Guards against the same after callers whose estimates were far too high: the pool expects a
+// twentieth of each declared run time.
+BOOST_AUTO_TEST_CASE(a_low_learned_run_time_stops_no_run_within_its_declared_time)
+{
+    pool_simulation world(one_centre());
+    submit_jobs(
+        world, 3s, 33s, [](int) { return 1400ms; }, 70ms);
+    submit_jobs(world, 33s, 39s, sound);
+    world.run_until(43s);
+    for (const auto& violation : world.violations())
+        BOOST_ERROR(violation);
+    BOOST_TEST(served_share(world, 33s, 39s) == 1.0);
+}
+
 // Guards against trials that waste the room of a queue whose tasks do take too long: from 2 s on at
 // most one job is started in each of the longest delays, and all others are refused at once.
 BOOST_AUTO_TEST_CASE(a_route_whose_tasks_take_too_long_refuses_all_but_a_few_trials)
