egretd: try jobs that only their learned run time refuses

Callers saw (model): after workers had been slow for 40 jobs, a service refuses every call whose deadline is shorter than the learned run time, for good, with idle slots: 0 of 30 served.

Fix: while no task waits for a slot, such a job may run as a trial with its declared run time, by the same run_time_trials. The refusal names the run time beside the wait.

--- a/src/core/dispatcher.hpp
+++ b/src/core/dispatcher.hpp
@@ -108,6 +108,8 @@
     // Returns the time that a new task would wait before it starts: the expected run time of all
     // queued tasks divided by the usable slots.
     milliseconds expected_wait() const;
+    // Returns the number of slots of this host's share of the workers, at least 1.
+    double usable_slots() const;
     bool over_quota(const std::string& team) const;
     // Returns the declared run time of a task of `service`: the service's configured one if
     // `declared_ms` is 0.
@@ -173,8 +175,6 @@
     std::uint32_t free_capacity(const worker_view& worker, std::uint32_t queue_ahead,
                                 instant now) const;
     const service_object* service_of(const std::string& name) const;
-    double usable_slots() const;
-
     dispatcher_settings m_settings;
     const start_gate& m_gate;
     node_counters& m_counters;
--- a/src/core/job.hpp
+++ b/src/core/job.hpp
@@ -63,6 +63,7 @@
     bool closing = false;
     answer_kind closing_kind = answer_kind::ok;
     std::string closing_detail;
+    bool on_trial = false;  // see run_time_trials
     bool cancelled = false; // cancelled before any task was started; ends as "not run"
     bool expired = false;   // the deadline passed while it was in doubt whether a task had started
 };
--- a/src/core/job_owner.cpp
+++ b/src/core/job_owner.cpp
@@ -315,8 +315,8 @@
     return job;
 }
 
-bool job_owner::refuse_if_infeasible(instant now, const wire::Call& request,
-                                     wire::Answer& answer) const
+bool job_owner::refuse_if_infeasible(instant now, const wire::Call& request, bool& on_trial,
+                                     wire::Answer& answer)
 {
     const auto& service = *service_of(request.job().service());
     if (!m_dispatcher.any_worker_fits(service))
@@ -330,16 +330,32 @@
     const auto run = m_dispatcher.expected_run_time(now.steady, service.name, max_size_ms);
     const auto wait = m_dispatcher.expected_wait();
     const auto limit = milliseconds{m_config->policy_of(service).admission_wait_ms};
-    const auto remaining = milliseconds{request.remaining_ms()};
+    const milliseconds remaining{request.remaining_ms()};
     if (wait <= limit && wait + run < remaining)
         return false;
+    const auto declared = m_dispatcher.declared_run_time(service.name, max_size_ms);
+    on_trial = run >= remaining && declared < remaining && begin_trial(now, service);
+    if (on_trial)
+        return false;
     const bool team_full = m_dispatcher.over_quota(request.team());
     answer = make_answer(team_full ? answer_kind::over_quota : answer_kind::over_capacity,
-                         "expected wait " + std::to_string(wait.count()) + " ms",
+                         "expected wait " + std::to_string(wait.count()) + " ms, run " +
+                             std::to_string(run.count()) + " ms",
                          std::max(wait, caller_retry_delay));
     return true;
 }
 
+bool job_owner::begin_trial(instant now, const service_object& service)
+{
+    const auto max_trials =
+        std::max<std::size_t>(1, static_cast<std::size_t>(m_dispatcher.usable_slots() / 16));
+    if (m_dispatcher.queued() > 0 || m_trials.unproven() >= max_trials ||
+        !m_trials.may_begin(now.steady, service.name))
+        return false;
+    m_trials.begin(now.steady, service.name);
+    return true;
+}
+
 call_status job_owner::on_submit(instant now, std::uint64_t call, const wire::Call& request,
                                  const job_key& key, const job_id& id, wire::Answer& answer,
                                  action_list& out)
@@ -369,7 +385,8 @@
                              "at most " + std::to_string(m_settings.max_tasks) + " tasks a job");
         return call_status::answered;
     }
-    if (refuse_if_infeasible(now, request, answer))
+    bool on_trial = false;
+    if (refuse_if_infeasible(now, request, on_trial, answer))
     {
         if (!request_refusal(now, shard, key.made))
             return call_status::wait;
@@ -377,6 +394,7 @@
         return call_status::answered;
     }
     auto& job = open(now, call, request, key, id);
+    job.on_trial = on_trial;
     ++m_counters.jobs_accepted;
     m_dispatcher.enqueue(job, now);
     m_dispatcher.pump(now, out);
@@ -484,6 +502,8 @@
                      m_owners.acknowledged_refusal_bound(job.shard) >= job.made),
                 "\"not run\" needs the shard's lease and a sufficient refusal bound");
     m_dispatcher.drop(job);
+    if (job.on_trial)
+        m_trials.end(now.steady, job.service, result == outcome::complete);
     auto answer = answer_for(job, kind, std::move(detail));
     m_counters.jobs_complete += result == outcome::complete ? 1 : 0;
     m_counters.jobs_failed += result == outcome::failed ? 1 : 0;
@@ -569,6 +589,8 @@
     {
         answer_callers(job, make_answer(answer_kind::key_expired));
         m_dispatcher.drop(job);
+        if (job.on_trial)
+            m_trials.abandon(job.service);
         m_resumed.erase(job.id);
         const auto id = job.id;
         m_jobs.erase(id);
@@ -798,6 +820,8 @@
             continue;
         lost_jobs.push_back(id);
         m_dispatcher.drop(*job);
+        if (job->on_trial)
+            m_trials.abandon(job->service);
         for (const auto& caller : job->callers)
         {
             returned_call returned;
--- a/src/core/job_owner.hpp
+++ b/src/core/job_owner.hpp
@@ -8,6 +8,7 @@
 #include "core/job_memory.hpp"
 #include "core/ownership.hpp"
 #include "core/recovery.hpp"
+#include "core/run_time_trials.hpp"
 #include <queue>
 
 namespace egretledge
@@ -109,8 +110,12 @@
     open_job& reopen(instant now, std::uint64_t call, const wire::Call& request, const job_key& key,
                      const job_id& id, const recovered_job& record);
     // Sets `answer` and returns true if no worker fits the job, or if the expected wait exceeds
-    // the admission limit or leaves too little time before the deadline.
-    bool refuse_if_infeasible(instant now, const wire::Call& request, wire::Answer& answer) const;
+    // the admission limit or leaves too little time before the deadline. Sets `on_trial` if the job
+    // is not refused although its learned run time leaves too little time.
+    bool refuse_if_infeasible(instant now, const wire::Call& request, bool& on_trial,
+                              wire::Answer& answer);
+    // Begins a trial of the service's run time if one may begin and no task waits for a slot.
+    bool begin_trial(instant now, const service_object& service);
     open_job& open(instant now, std::uint64_t call, const wire::Call& request, const job_key& key,
                    const job_id& id);
     // Copies the body into the job. The known state of its tasks stays.
@@ -156,6 +161,7 @@
     ownership& m_owners;
     node_counters& m_counters;
     configuration_ptr m_config;
+    run_time_trials m_trials;
     dispatcher m_dispatcher;
     recovery m_recovery;
     job_memory m_memory;
--- a/src/core/run_time_trials.cpp
+++ b/src/core/run_time_trials.cpp
@@ -51,17 +51,31 @@
         ++known.closed->trials;
 }
 
-void run_time_trials::end(microseconds now, const std::string& service, bool served)
+run_time_trials::record& run_time_trials::remove_open(const std::string& service)
 {
     const auto entry = m_records.find(service);
     EGRET_CHECK(entry != m_records.end() && entry->second.open > 0,
                 "no trial of this service is open");
     auto& known = entry->second;
-    known.used_at = now;
-    m_unproven -= known.proven ? 0 : known.open;
     --known.open;
-    known.proven = served;
-    m_unproven += known.proven ? 0 : known.open;
+    m_unproven -= known.proven ? 0 : 1;
+    return known;
+}
+
+void run_time_trials::abandon(const std::string& service)
+{
+    remove_open(service);
+}
+
+void run_time_trials::end(microseconds now, const std::string& service, bool served)
+{
+    auto& known = remove_open(service);
+    known.used_at = now;
+    if (known.proven != served)
+    {
+        known.proven = served;
+        m_unproven = served ? m_unproven - known.open : m_unproven + known.open;
+    }
     if (served)
     {
         known.max_open = std::min(known.max_open * 2, m_settings.max_open);
--- a/src/core/run_time_trials.hpp
+++ b/src/core/run_time_trials.hpp
@@ -59,6 +59,8 @@
     void begin(microseconds now, const std::string& service);
     // Ends a trial. `served`: its caller was answered in time.
     void end(microseconds now, const std::string& service, bool served);
+    // Ends a trial whose outcome is not known here.
+    void abandon(const std::string& service);
 
     // Number of trials that run now, of the services whose latest trial was not served or which had
     // none.
@@ -78,6 +80,8 @@
         microseconds used_at{0};
     };
 
+    // Takes one trial off those that run and returns the service's record.
+    record& remove_open(const std::string& service);
     void evict_expired(microseconds now);
 
     run_time_trial_settings m_settings;
--- a/src/standin/worker_model.hpp
+++ b/src/standin/worker_model.hpp
@@ -54,6 +54,8 @@
 public:
     worker_model(worker_settings settings, instant now);
 
+    // Sets the ratio of the actual to the declared run time of tasks that start from now on.
+    void set_slowness(double slowness) { m_settings.slowness = slowness; }
     // Handles a request. Appends the answer to `replies`; a result poll that has to wait is
     // answered by a later call.
     void handle_request(instant now, std::uint64_t request, const worker_request& body,
--- a/tests/harness_test.cpp
+++ b/tests/harness_test.cpp
@@ -268,6 +268,43 @@
     BOOST_TEST(sim.check_history() == "");
 }
 
+// Guards against a service that a host refuses for good: it learned from a burst of low estimates
+// that tasks take longer than their callers wait, and no refused job could correct that.
+BOOST_AUTO_TEST_CASE(a_burst_of_low_estimates_closes_a_service_for_seconds_only)
+{
+    using egretledge::milliseconds;
+    auto settings = small_simulation(2);
+    settings.centres[0].workers = 1;
+    simulation sim(settings);
+    sim.run_for(milliseconds{4000});
+    const auto owner = sim.serving("dc1", 0).at(0);
+    const auto submit = [&](int number, std::uint32_t size_ms)
+    {
+        wire::Job job;
+        job.set_service("once");
+        job.set_deadline_ms(1500);
+        job.add_tasks()->set_payload("p");
+        job.mutable_tasks(0)->set_size_ms(size_ms);
+        const auto call = sim.submit(owner, sim.make_key("dc1", "n" + std::to_string(number)), job);
+        sim.run_for(milliseconds{500});
+        return call;
+    };
+    int number = 0;
+    sim.worker("dc1-pool-1")->set_slowness(1.75);
+    for (int i = 0; i < 40; ++i)
+        submit(++number, 600);
+    sim.worker("dc1-pool-1")->set_slowness(1);
+    std::vector<std::uint64_t> calls;
+    for (int i = 0; i < 40; ++i)
+        calls.push_back(submit(++number, 1050));
+    sim.run_for(milliseconds{3000});
+    int served = 0;
+    for (std::size_t i = 10; i < calls.size(); ++i)
+        served += kind_of(sim.calls().find(calls[i])->answer) == answer_kind::ok ? 1 : 0;
+    BOOST_TEST(served == 30);
+    BOOST_TEST(sim.check_history() == "");
+}
+
 // Guards against tasks that run twice: an owner started tasks on a worker that the configuration
 // had just added, and its grantor, which had not read that revision yet, took over without querying
 // the worker.
