Learn no run time from an end that was read late

Callers could see (by reading and unit test, not seen with processes): after a host stood still, the runs that had ended meanwhile seemed to have taken the pause as well, and with one route all samples of a pool are such ones.

Cause: a run's time is measured from its start to the handling of its end.

Fix: held_worker compares that with the worker's own clock in its answers to the start and to the hold. If the reply waited here, or no list was read for longer than the longest hold, the end is marked as read late and no run time is learned from it.

--- a/src/pool/held_worker.cpp
+++ b/src/pool/held_worker.cpp
@@ -313,9 +313,9 @@
     if (reply.start_time_ms != 0)
         m_start_time_ms = reply.start_time_ms;
     for (const auto& line : reply.running)
-        record_running(now, line, events);
+        record_running(now, line, reply.clock_ms, events);
     for (const auto& line : reply.ended)
-        record_ended(line, now, events);
+        record_ended(line, now, reply.clock_ms, events);
     resolve_unlisted_runs(now, order, reply, events);
     if (order.fence != m_fence)
     {
@@ -354,6 +354,7 @@
             entry->second.at = stage::running;
             entry->second.view.confirmed = true;
             entry->second.confirmed_at = now;
+            entry->second.started_clock_ms = reply.clock_ms;
         }
         return;
     case order_result::stale_fence:
@@ -380,7 +381,8 @@
     }
 }
 
-void held_worker::record_running(microseconds now, const running_entry& line, worker_events& events)
+void held_worker::record_running(microseconds now, const running_entry& line, std::int64_t clock_ms,
+                                 worker_events& events)
 {
     auto [entry, inserted] = m_runs.try_emplace(line.run);
     auto& state = entry->second;
@@ -398,11 +400,24 @@
         state.confirmed_at = now;
     }
     state.start_time_ms = m_start_time_ms;
+    state.listed_clock_ms = clock_ms;
     state.view.percent = line.percent;
     state.view.percent_at = now;
 }
 
-void held_worker::record_ended(const ended_entry& line, microseconds now, worker_events& events)
+bool held_worker::read_late(const run_state& state, microseconds now, std::int64_t clock_ms) const
+{
+    if (clock_ms == 0 || state.started_clock_ms == 0)
+        return false;
+    const microseconds by_worker = milliseconds{clock_ms - state.started_clock_ms};
+    if (now - state.view.sent > by_worker + order_timeout())
+        return true;
+    const milliseconds unlisted{clock_ms - std::max(state.started_clock_ms, state.listed_clock_ms)};
+    return unlisted > m_settings.idle_check_interval + hold_timeout_margin + order_timeout();
+}
+
+void held_worker::record_ended(const ended_entry& line, microseconds now, std::int64_t clock_ms,
+                               worker_events& events)
 {
     if (line.number <= m_ends_seen)
         return;
@@ -412,9 +427,12 @@
         return events.push_back({worker_event_kind::found, m_entry.id, line.run, line.end, {}, {}});
     const bool ours = !entry->second.foreign;
     const auto ran = now - entry->second.view.sent;
+    const bool late = read_late(entry->second, now, clock_ms);
     remove_run(entry);
-    if (ours)
-        events.push_back({worker_event_kind::ended, m_entry.id, line.run, line.end, {}, ran});
+    if (!ours)
+        return;
+    events.push_back({worker_event_kind::ended, m_entry.id, line.run, line.end, {}, ran});
+    events.back().read_late = late;
 }
 
 void held_worker::resolve_unlisted_runs(microseconds now, const open_order& order,
--- a/src/pool/held_worker.hpp
+++ b/src/pool/held_worker.hpp
@@ -64,6 +64,8 @@
     std::uint64_t start_time_ms = 0;
     bool silent = false;
     bool in_doubt = false; // the worker had not answered the start
+    // For ended: `ran` is not the run time, since the end was listed or read late.
+    bool read_late = false;
 };
 using worker_events = std::vector<worker_event>;
 
@@ -151,6 +153,10 @@
         std::uint64_t fence = 0;         // fencing token of the start
         std::uint64_t start_time_ms = 0; // of the worker's incarnation that has the run
         microseconds confirmed_at{0};    // when this host learned that it is running
+        // The worker's clock in its answer to the start, and in the latest list that has the run;
+        // 0 if there is none.
+        std::int64_t started_clock_ms = 0;
+        std::int64_t listed_clock_ms = 0;
         microseconds stop_sent{0};
         bool stop_open = false;     // the answer to the latest stop has not been handled
         bool stop_accepted = false; // the worker has accepted the stop
@@ -197,8 +203,14 @@
                  worker_events& events);
     void on_start(microseconds now, const open_order& order, const worker_reply& reply,
                   worker_events& events);
-    void record_running(microseconds now, const running_entry& line, worker_events& events);
-    void record_ended(const ended_entry& line, microseconds now, worker_events& events);
+    void record_running(microseconds now, const running_entry& line, std::int64_t clock_ms,
+                        worker_events& events);
+    // `clock_ms`: the worker's clock in the reply that lists the end.
+    void record_ended(const ended_entry& line, microseconds now, std::int64_t clock_ms,
+                      worker_events& events);
+    // Returns true if the time from the start of the run to `now` says little about its run time:
+    // the reply waited here, or the worker could not tell of the end before.
+    bool read_late(const run_state& state, microseconds now, std::int64_t clock_ms) const;
     // Resolves runs that the hold's list does not contain: never started, or ended.
     void resolve_unlisted_runs(microseconds now, const open_order& order, const worker_reply& reply,
                                worker_events& events);
--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -507,7 +507,8 @@
         --job->step_left[task->step];
         if (record != nullptr)
         {
-            learn(now, *record, *job, *task, event.ran);
+            if (!event.read_late)
+                learn(now, *record, *job, *task, event.ran);
             record->failures = 0;
             record->probation = false;
             record->quarantine = milliseconds{0};
--- a/tests/pool_forecast_test.cpp
+++ b/tests/pool_forecast_test.cpp
@@ -63,6 +63,30 @@
     }
 };
 
+// Starts a job of one task of 100 ms and lists its end in a reply that is handled at `handled`. The
+// worker lists it when its clock is at `listed_clock_ms`; the start was answered at 5003.
+void end_run(pool_fixture& test, microseconds handled, std::int64_t listed_clock_ms)
+{
+    test.answer_holds(at_ms(2));
+    test.submit(at_ms(3), pool_fixture::make_job("job", 1, usual_task, 100ms));
+    std::uint64_t hold_request = 0;
+    run_ref run;
+    for (const auto& action : std::exchange(test.out, {}))
+        if (const auto* start = std::get_if<actions::start_run>(&action))
+        {
+            run = start->run;
+            test.pool.on_worker_reply(at_ms(4), start->request, pool_fixture::accepted(at_ms(3)),
+                                      test.out);
+        }
+        else if (const auto* hold = std::get_if<actions::hold_worker>(&action))
+            hold_request = hold->request;
+    BOOST_REQUIRE(hold_request != 0);
+    auto reply = pool_fixture::accepted(at_ms(listed_clock_ms - 5000));
+    reply.ended.push_back({1, run, run_end::done});
+    test.pool.on_worker_reply(handled, hold_request, reply, test.out);
+    BOOST_REQUIRE(test.pool.counts().done == 1U);
+}
+
 // Half a core: 32 of them fit on a worker of 16 cores.
 constexpr resources small_task{500, 64, 0};
 
@@ -133,3 +157,29 @@
     BOOST_TEST(test.pool.open_jobs() == 2U);
     BOOST_TEST(test.pool.expected_wait(at_ms(4)) == 0ms);
 }
+
+BOOST_AUTO_TEST_CASE(a_run_whose_end_is_read_at_once_teaches_its_run_time)
+{
+    pool_fixture test(1);
+    end_run(test, at_ms(203), 5203);
+    const auto learned = test.pool.highest_run_time_ratio(at_ms(204));
+    BOOST_REQUIRE(learned.has_value());
+    BOOST_TEST(learned->samples == 1U);
+}
+
+// Guards against run times learned from a pause of this process: the reply of the worker had waited
+// here.
+BOOST_AUTO_TEST_CASE(a_reply_that_waited_here_teaches_no_run_time)
+{
+    pool_fixture test(1);
+    end_run(test, at_ms(3203), 5103);
+    BOOST_TEST(!test.pool.highest_run_time_ratio(at_ms(3204)).has_value());
+}
+
+// Guards against the same if the worker could not tell of the end: no hold was open for seconds.
+BOOST_AUTO_TEST_CASE(an_end_that_is_listed_seconds_later_teaches_no_run_time)
+{
+    pool_fixture test(1);
+    end_run(test, at_ms(3203), 8203);
+    BOOST_TEST(!test.pool.highest_run_time_ratio(at_ms(3204)).has_value());
+}
