--- a/src/pool/admission.cpp
+++ b/src/pool/admission.cpp
@@ -308,7 +308,8 @@
     const auto& route = job.request.terms.route;
     auto trial = job;
     set_run_times(trial, declared_run_times(job.request));
-    if (cannot_end_in_time(trial, now))
+    // Otherwise the job is too old, or declares too long a time itself.
+    if (trial.critical_path >= job.critical_path || cannot_end_in_time(trial, now))
         return false;
     const auto max_trials =
         std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(m_workers.size()) *
--- a/tests/pool_forecast_test.cpp
+++ b/tests/pool_forecast_test.cpp
@@ -158,6 +158,24 @@
     BOOST_TEST(test.pool.expected_wait(at_ms(4)) == 0ms);
 }
 
+// Guards against trials for jobs that were too old when they arrived, and routes that are told to be
+// closed by them: the learned run time is shorter than the declared one.
+BOOST_AUTO_TEST_CASE(a_job_that_is_too_old_closes_no_route)
+{
+    pool_fixture test(1);
+    end_run(test, at_ms(63), 5063);
+    const auto learned = test.pool.highest_run_time_ratio(at_ms(64));
+    BOOST_REQUIRE(learned.has_value());
+    BOOST_TEST(learned->ratio < 1);
+    test.pool.submit(at_ms(64), test.make_job("old", 1, usual_task, 100ms), {"h2", 1, 99}, 560ms,
+                     test.out);
+    const auto results = test.pool.take_results();
+    BOOST_REQUIRE(!results.empty());
+    BOOST_TEST((results.back().answer.kind == answer_kind::over_capacity));
+    BOOST_TEST(test.pool.counts().refused_for_run_time == 0U);
+    BOOST_TEST(test.pool.closed_routes() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_run_whose_end_is_read_at_once_teaches_its_run_time)
 {
     pool_fixture test(1);
