--- a/src/io/daemon.cpp
+++ b/src/io/daemon.cpp
@@ -72,7 +72,7 @@
 
 entry_daemon::entry_daemon(daemon_settings settings)
     : m_settings(std::move(settings)), m_io_work(m_io_context.get_executor()),
-      m_timer(m_logic_context), m_signals(m_logic_context),
+      m_timer(m_logic_context),
       m_logic(
           [this]
           {
@@ -98,7 +98,10 @@
 {
 }
 
-entry_daemon::~entry_daemon() = default;
+entry_daemon::~entry_daemon()
+{
+    m_signals.stop(); // its callback uses the other members
+}
 
 void entry_daemon::post_to_logic(std::function<void(node&, instant, action_list&)> callback)
 {
@@ -116,7 +119,7 @@
     log_line("info", "event=started host=" + m_settings.name +
                          " data_centre=" + m_settings.data_centre +
                          " http_port=" + std::to_string(http_port()) + " peers=" + peer_endpoint());
-    handle_signals();
+    m_signals.start([this](int number) { on_signal(number); });
     std::vector<std::thread> threads;
     for (std::uint32_t i = 0; i < m_settings.io_threads; ++i)
         threads.emplace_back(
@@ -136,16 +139,14 @@
     return m_exit_code;
 }
 
-void entry_daemon::handle_signals()
+void entry_daemon::on_signal(int number)
 {
-    m_signals.add(SIGTERM);
-    m_signals.add(SIGINT);
-    m_signals.async_wait(
-        [this](boost::system::error_code code, int)
-        {
-            if (!code)
-                request_stop();
-        });
+    if (number == SIGHUP)
+        log_line("info", "event=reload changed=none reason=\"settings are read only at start; "
+                         "restart to change them\" host=" +
+                             m_settings.name);
+    else
+        request_stop();
 }
 
 void entry_daemon::request_stop()
--- a/src/io/daemon.hpp
+++ b/src/io/daemon.hpp
@@ -10,8 +10,8 @@
 #include "io/peer_bus.hpp"
 #include "io/platform_client.hpp"
 #include "io/settings.hpp"
+#include "io/signal_listener.hpp"
 #include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <thread>
 
@@ -54,14 +54,14 @@
     // Returns the team that the caller's token belongs to, or an empty string if there is none.
     std::string team_of(const std::string& token) const;
     void update_peer_addresses(const host_listing& listing);
-    void handle_signals();
+    void on_signal(int number);
 
+    signal_listener m_signals; // before everything that starts a thread
     daemon_settings m_settings;
     boost::asio::io_context m_logic_context{1};
     boost::asio::io_context m_io_context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_io_work;
     boost::asio::steady_timer m_timer;
-    boost::asio::signal_set m_signals;
     node m_logic;
     config_box m_config;
     std::uint64_t m_published_revision = 0;
--- a/src/io/peer_bus.cpp
+++ b/src/io/peer_bus.cpp
@@ -15,6 +15,7 @@
 #include "io/peer_bus.hpp"
 #include "io/logging.hpp"
 #include <array>
+#include <cerrno>
 #include <mutex>
 #include <set>
 #include <stdexcept>
@@ -68,6 +69,50 @@
     return context;
 }
 
+// Calls `operation` again for as long as a signal interrupts it.
+template <class Operation>
+auto retry_interrupted(const Operation& operation)
+{
+    for (;;)
+        try
+        {
+            return operation();
+        }
+        catch (const zmq::error_t& e)
+        {
+            if (e.num() != EINTR)
+                throw;
+        }
+}
+
+// Receives a whole message without waiting. Returns false if there is none. A signal between two
+// parts loses none of them.
+bool receive_parts(zmq::socket_t& socket, zmq::multipart_t& message)
+{
+    message.clear();
+    for (;;)
+    {
+        zmq::message_t part;
+        if (!retry_interrupted([&] { return socket.recv(part, zmq::recv_flags::dontwait); }))
+            return false;
+        const bool more = part.more();
+        message.add(std::move(part));
+        if (!more)
+            return true;
+    }
+}
+
+// Sends all parts of the message, likewise.
+void send_parts(zmq::socket_t& socket, zmq::multipart_t& message)
+{
+    while (!message.empty())
+    {
+        auto part = message.pop();
+        const auto flags = message.empty() ? zmq::send_flags::none : zmq::send_flags::sndmore;
+        retry_interrupted([&] { return socket.send(part, flags); });
+    }
+}
+
 } // namespace
 
 struct peer_bus::sockets
@@ -118,7 +163,11 @@
 {
     {
         const std::lock_guard lock(m_sockets->command_mutex);
-        m_sockets->command_sender.send(zmq::buffer(command_stop), zmq::send_flags::none);
+        retry_interrupted(
+            [this] {
+                return m_sockets->command_sender.send(zmq::buffer(command_stop),
+                                                      zmq::send_flags::none);
+            });
     }
     m_thread.join();
 }
@@ -130,7 +179,7 @@
     message.addstr(std::string(command_address));
     message.addstr(host);
     message.addstr(address);
-    message.send(m_sockets->command_sender);
+    send_parts(m_sockets->command_sender, message);
 }
 
 void peer_bus::send(const std::string& host, const wire::PeerMessage& message)
@@ -140,23 +189,29 @@
     parts.addstr(host);
     parts.addstr(message.SerializeAsString());
     const std::lock_guard lock(m_sockets->command_mutex);
-    parts.send(m_sockets->command_sender);
+    send_parts(m_sockets->command_sender, parts);
 }
 
 void peer_bus::resume_receiving()
 {
     const std::lock_guard lock(m_sockets->command_mutex);
-    m_sockets->command_sender.send(zmq::buffer(command_resume), zmq::send_flags::none);
+    retry_interrupted(
+        [this] {
+            return m_sockets->command_sender.send(zmq::buffer(command_resume),
+                                                  zmq::send_flags::none);
+        });
 }
 
 namespace
 {
 
-// Answers one ZAP request. Accepts the client if its key is in `keys`, with the host's name as the
-// user id. Returns whether the client was accepted.
+// Answers one ZAP request, if there is one. Accepts the client if its key is in `keys`, with the
+// host's name as the user id. Returns false if the client was refused.
 bool answer_zap(zmq::socket_t& zap, const std::map<std::string, std::string>& keys)
 {
-    zmq::multipart_t request(zap);
+    zmq::multipart_t request;
+    if (!receive_parts(zap, request))
+        return true;
     constexpr std::size_t parts_with_key = 7;
     std::string user;
     if (request.size() >= parts_with_key && request[6].size() == key_bytes)
@@ -175,7 +230,7 @@
     reply.addstr(user.empty() ? "unknown key" : "OK");
     reply.addstr(user);
     reply.addstr("");
-    reply.send(zap);
+    send_parts(zap, reply);
     return !user.empty();
 }
 
@@ -219,7 +274,7 @@
     {
         zmq::multipart_t message;
         for (int received = 0;
-             !paused && received < max_receive_batch && message.recv(s.receiver, ZMQ_DONTWAIT);
+             !paused && received < max_receive_batch && receive_parts(s.receiver, message);
              ++received)
         {
             ++m_received;
@@ -248,8 +303,7 @@
     {
         zmq::multipart_t message;
         for (int handled = 0;
-             handled < max_command_batch && message.recv(s.command_receiver, ZMQ_DONTWAIT);
-             ++handled)
+             handled < max_command_batch && receive_parts(s.command_receiver, message); ++handled)
         {
             ++m_commands;
             const auto command_name = part_to_string(message[0]);
@@ -287,7 +341,9 @@
                                           s.addresses[host] + " reason=\"" + e.what() + '"');
             }
             const auto size = message[2].size();
-            if (sender == nullptr || !sender->send(message[2], zmq::send_flags::dontwait))
+            if (sender == nullptr ||
+                !retry_interrupted([&]
+                                   { return sender->send(message[2], zmq::send_flags::dontwait); }))
                 ++m_dropped;
             else
                 m_bytes_sent += size;
@@ -301,7 +357,7 @@
     for (;;)
     {
         items[0].events = paused ? short{0} : short{ZMQ_POLLIN};
-        zmq::poll(items, poll_timeout);
+        retry_interrupted([&] { return zmq::poll(items, poll_timeout); });
         ++m_turns;
         receive_messages();
         if (!handle_commands())
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -193,7 +193,7 @@
     }
     ~running_host()
     {
-        std::raise(SIGTERM);
+        ::kill(::getpid(), SIGTERM);
         daemon_thread.join();
         store.context.stop();
         store_thread.join();
@@ -745,6 +745,68 @@
 
 } // namespace
 
+// Guards against an abort on two signals, or on one that comes while the process stands still: a
+// signal that interrupted the bus's thread ended the process.
+BOOST_AUTO_TEST_CASE(signals_interrupt_no_thread_of_a_host)
+{
+    running_host host(config_with_body_limit);
+    BOOST_REQUIRE(host.serves());
+    // As after a signal that the main thread has not handled yet.
+    sigset_t reload;
+    sigset_t former;
+    sigemptyset(&reload);
+    sigaddset(&reload, SIGHUP);
+    ::pthread_sigmask(SIG_BLOCK, &reload, &former);
+    for (int i = 0; i < 400; ++i)
+    {
+        ::kill(::getpid(), SIGHUP);
+        std::this_thread::sleep_for(std::chrono::milliseconds{i % 3});
+    }
+    BOOST_TEST(host.caller_status("GET", "/q/") == 200U);
+    ::pthread_sigmask(SIG_SETMASK, &former, nullptr);
+}
+
+// Guards against a bus whose thread ends when a system call is interrupted, whoever sends the
+// signal.
+BOOST_AUTO_TEST_CASE(an_interrupted_bus_receives_on)
+{
+    struct sigaction ignore = {};
+    struct sigaction former = {};
+    ignore.sa_handler = [](int) {};
+    ::sigaction(SIGUSR1, &ignore, &former);
+    std::atomic<std::uint64_t> received{0};
+    peer_bus receiver({"tcp://127.0.0.1:0", {}, {}, {}},
+                      [&](const wire::PeerMessage&)
+                      {
+                          ++received;
+                          return true;
+                      });
+    peer_bus sender({"tcp://127.0.0.1:0", {}, {}, {}},
+                    [](const wire::PeerMessage&) { return true; });
+    sender.set_address("receiver", receiver.endpoint());
+    sigset_t interrupt;
+    sigset_t former_mask;
+    sigemptyset(&interrupt);
+    sigaddset(&interrupt, SIGUSR1);
+    ::pthread_sigmask(SIG_BLOCK, &interrupt, &former_mask);
+    std::uint64_t number = 0;
+    for (int i = 0; i < 200; ++i)
+    {
+        ::kill(::getpid(), SIGUSR1);
+        sender.send("receiver", numbered_message("sender", ++number));
+        std::this_thread::sleep_for(std::chrono::milliseconds{1});
+    }
+    const auto before = received.load();
+    BOOST_TEST(wait_until(
+        [&]
+        {
+            sender.send("receiver", numbered_message("sender", ++number));
+            return received > before;
+        }));
+    ::pthread_sigmask(SIG_SETMASK, &former_mask, nullptr);
+    ::sigaction(SIGUSR1, &former, nullptr);
+}
+
 // A caller's request waited until hundreds of messages of other hosts had been handled.
 BOOST_AUTO_TEST_CASE(other_events_run_between_the_messages_of_a_backlog)
 {
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -348,9 +348,13 @@
                });
     // Only a few calls: a caller of the paused host waits until the host resumes.
     wait_for_calls(12);
+    // A signal that waits for a process to continue may be taken by any of its threads.
+    ::kill(c.pids[1], SIGHUP);
     ::kill(c.pids[1], SIGCONT);
     c.wait_for("the resumed host", [&] { return c.serving() == 8; });
     wait_for_calls(200);
+    for (int i = 0; i < 100; ++i)
+        ::kill(c.pids[2], SIGHUP);
     BOOST_TEST(c.end_process(2, SIGTERM) == 0);
     c.wait_for("handover", [&] { return c.serving() == 8; });
     wait_for_calls(200);
