egretd: destroy the logic's queue before the connections' context

Cause: a call that waits in the queue of the logic owns its connection, and entry_daemon destroyed the I/O context, which owns the connection's socket, before that queue: two members in the wrong order.

Fix: daemon_contexts holds both in the order that ownership demands.

Test: calls_that_wait_for_the_logic_end_before_the_context_of_their_connections fails with the order turned round, on every build.

--- a/src/io/daemon.cpp
+++ b/src/io/daemon.cpp
@@ -71,8 +71,8 @@
 }
 
 entry_daemon::entry_daemon(daemon_settings settings)
-    : m_settings(std::move(settings)), m_io_work(m_io_context.get_executor()),
-      m_timer(m_logic_context),
+    : m_settings(std::move(settings)), m_io_work(m_contexts.io.get_executor()),
+      m_timer(m_contexts.logic),
       m_logic(
           [this]
           {
@@ -83,7 +83,7 @@
               return logic;
           }(),
           std::random_device{}()),
-      m_http(m_io_context, m_settings.worker_connections), m_platform(m_http, m_settings.platform),
+      m_http(m_contexts.io, m_settings.worker_connections), m_platform(m_http, m_settings.platform),
       m_bus(m_settings.peers,
             [this](wire::PeerMessage message)
             {
@@ -92,7 +92,7 @@
                               { logic.on_peer(now, std::move(message), out); });
                 return true;
             }),
-      m_server(m_io_context, m_settings.http,
+      m_server(m_contexts.io, m_settings.http,
                [this](http_request request, responder respond)
                { on_request(std::move(request), std::move(respond)); })
 {
@@ -105,7 +105,7 @@
 
 void entry_daemon::post_to_logic(std::function<void(node&, instant, action_list&)> callback)
 {
-    net::post(m_logic_context,
+    net::post(m_contexts.logic,
               [this, callback = std::move(callback)]
               {
                   action_list out;
@@ -126,12 +126,12 @@
             [this]
             {
                 const rcu_thread registered;
-                m_io_context.run();
+                m_contexts.io.run();
             });
     tick();
-    m_logic_context.run();
+    m_contexts.logic.run();
     m_io_work.reset();
-    m_io_context.stop();
+    m_contexts.io.stop();
     for (auto& thread : threads)
         thread.join();
     log_line("info", "event=stopped host=" + m_settings.name +
@@ -196,7 +196,7 @@
     constexpr std::chrono::milliseconds linger{100};
     m_stopping = false;
     m_timer.expires_after(linger);
-    m_timer.async_wait([this](boost::system::error_code) { m_logic_context.stop(); });
+    m_timer.async_wait([this](boost::system::error_code) { m_contexts.logic.stop(); });
 }
 
 void entry_daemon::execute_actions(action_list& actions)
@@ -210,7 +210,7 @@
                 continue;
             auto [key, respond] = std::move(call->second);
             m_calls.erase(call);
-            net::post(m_io_context,
+            net::post(m_contexts.io,
                       [key = std::move(key), respond = std::move(respond),
                        answer = std::move(reply->answer)] { respond(to_response(key, answer)); });
         }
@@ -251,7 +251,7 @@
 // Runs on the I/O threads, so that the logic's thread does not build or parse JSON.
 void entry_daemon::send_worker_request(actions::send_worker_request& action)
 {
-    net::post(m_io_context,
+    net::post(m_contexts.io,
               [this, action = std::move(action)]
               {
                   m_platform.send_worker_request(
@@ -369,7 +369,7 @@
                                 "application/json", 0});
             }
             auto state = logic.dump(now);
-            net::post(m_io_context,
+            net::post(m_contexts.io,
                       [this, path, respond, state = std::move(state)]
                       {
                           if (path == "/metrics")
--- a/src/io/daemon.hpp
+++ b/src/io/daemon.hpp
@@ -5,6 +5,7 @@
 // pool of I/O threads, and ZeroMQ runs on a thread of its own.
 
 #include "io/config_box.hpp"
+#include "io/daemon_contexts.hpp"
 #include "io/http_client.hpp"
 #include "io/http_server.hpp"
 #include "io/peer_bus.hpp"
@@ -58,8 +59,7 @@
 
     signal_listener m_signals; // before everything that starts a thread
     daemon_settings m_settings;
-    boost::asio::io_context m_logic_context{1};
-    boost::asio::io_context m_io_context;
+    daemon_contexts m_contexts;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_io_work;
     boost::asio::steady_timer m_timer;
     node m_logic;
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -3,6 +3,7 @@
 #include "ctl/commands.hpp"
 #include "io/codec.hpp"
 #include "io/daemon.hpp"
+#include "io/daemon_contexts.hpp"
 #include "io/dump_json.hpp"
 #include "io/standin_server.hpp"
 #include <atomic>
@@ -855,3 +856,36 @@
     BOOST_TEST(run({"publish", directory}) == ctl::invalid_objects);
     std::filesystem::remove_all(directory);
 }
+
+namespace
+{
+
+// Sets a flag when its context begins to be destroyed.
+class end_marker : public boost::asio::execution_context::service
+{
+public:
+    using key_type = end_marker;
+    static const boost::asio::execution_context::id id;
+    explicit end_marker(boost::asio::execution_context& owner) : service(owner) {}
+    void shutdown() override { *ended = true; }
+    bool* ended = nullptr;
+};
+const boost::asio::execution_context::id end_marker::id;
+
+} // namespace
+
+// Guards against a use after free when egretd stops: a call that waited for the logic owned a
+// connection whose context had been destroyed.
+BOOST_AUTO_TEST_CASE(calls_that_wait_for_the_logic_end_before_the_context_of_their_connections)
+{
+    bool io_ended = false;
+    bool call_ended_first = false;
+    {
+        daemon_contexts contexts;
+        boost::asio::use_service<end_marker>(contexts.io).ended = &io_ended;
+        auto call = std::shared_ptr<void>(nullptr, [&](void*) { call_ended_first = !io_ended; });
+        boost::asio::post(contexts.logic, [call = std::move(call)] {});
+    }
+    BOOST_TEST(io_ended);
+    BOOST_TEST(call_ended_first);
+}
