Let no absurd estimate make a worker slow for half a minute

Callers could see (unit test): a task outside its rack, which takes twice as long, while the worker in its rack is idle: one caller had declared 1 ms there, and the run seemed to be 300 times as slow as expected.

Fix: one run counts as six times too slow at most.

Test: an_absurd_estimate_makes_no_worker_slow_for_long failed before.

--- a/src/pool/worker_pool.cpp
+++ b/src/pool/worker_pool.cpp
@@ -21,6 +21,7 @@
 // Interval between checks for expired jobs and stuck runs; a fraction of the shortest slack.
 constexpr milliseconds check_interval{25};
 constexpr double slowness_rate = 0.3;    // weight of the latest run in a worker's slowness
+constexpr double max_slowness = 6;       // of one run; more is a wrong estimate
 constexpr double slowness_decay = 0.995; // per check: a slow worker is tried again after seconds
 constexpr unsigned fence_identity_bits = 12;
 constexpr std::uint64_t probe_fence = 1; // lower than every holder's token
@@ -484,7 +485,7 @@
     const auto time = expected_run_time(now, job.request, step);
     const double ratio =
         static_cast<double>(ran.count()) / static_cast<double>(microseconds{time}.count());
-    record.slowness += slowness_rate * (ratio - record.slowness);
+    record.slowness += slowness_rate * (std::min(ratio, max_slowness) - record.slowness);
     m_run_times.learn(now, job.request.terms.route, step.estimate, ran);
 }
 
--- a/tests/pool_forecast_test.cpp
+++ b/tests/pool_forecast_test.cpp
@@ -27,6 +27,7 @@
             entry.service = "desk";
             entry.data_centre = "dc1";
             entry.capacity = {16000, 32768, 0};
+            entry.labels = {"rack-" + entry.id};
             pool.acquire({at_ms(1), 1000ms}, entry, out);
         }
     }
@@ -158,8 +159,52 @@
     BOOST_TEST(test.pool.expected_wait(at_ms(4)) == 0ms);
 }
 
-// Guards against trials for jobs that were too old when they arrived, and routes that are told to be
-// closed by them: the learned run time is shorter than the declared one.
+// Guards against a worker that is passed over for half a minute since one caller declared 1 ms: the
+// run seemed to be 300 times as slow as expected.
+BOOST_AUTO_TEST_CASE(an_absurd_estimate_makes_no_worker_slow_for_long)
+{
+    pool_fixture test(2);
+    test.answer_holds(at_ms(2));
+    test.submit(at_ms(3), pool_fixture::make_job("absurd", 1, usual_task, 1ms));
+    std::string used;
+    run_ref run;
+    for (const auto& action : std::exchange(test.out, {}))
+        if (const auto* start = std::get_if<actions::start_run>(&action))
+        {
+            used = start->worker;
+            run = start->run;
+            test.pool.on_worker_reply(at_ms(4), start->request, pool_fixture::accepted(at_ms(3)),
+                                      test.out);
+        }
+    BOOST_REQUIRE(!used.empty());
+    for (std::int64_t ms = 20; ms <= 10300; ms += 20)
+    {
+        test.pool.tick(at_ms(ms), test.out);
+        for (const auto& action : std::exchange(test.out, {}))
+            if (const auto* hold = std::get_if<actions::hold_worker>(&action))
+            {
+                auto reply = pool_fixture::accepted(at_ms(ms));
+                if (hold->worker == used && ms < 300)
+                    reply.running.push_back({run, 50});
+                else if (hold->worker == used)
+                    reply.ended.push_back({1, run, run_end::done});
+                test.pool.on_worker_reply(at_ms(ms), hold->request, reply, test.out);
+            }
+    }
+    BOOST_REQUIRE(test.pool.counts().done == 1U);
+    // Outside its rack the job would take twice as long.
+    auto job = pool_fixture::make_job("next", 1, usual_task, 100ms);
+    job.steps[0].preferred_rack = "rack-" + used;
+    test.submit(at_ms(10301), job);
+    std::string next;
+    for (const auto& action : test.out)
+        if (const auto* start = std::get_if<actions::start_run>(&action))
+            next = start->worker;
+    BOOST_TEST(next == used);
+}
+
+// Guards against trials for jobs that were too old when they arrived, and routes that are told to
+// be closed by them: the learned run time is shorter than the declared one.
 BOOST_AUTO_TEST_CASE(a_job_that_is_too_old_closes_no_route)
 {
     pool_fixture test(1);
