--- a/tests/pool_estimates_test.cpp
+++ b/tests/pool_estimates_test.cpp
@@ -131,7 +131,7 @@
     BOOST_TEST(served_share(world, 33s, 39s) == 1.0);
 }
 
-// Guards against trials that waste the room of a queue whose tasks do take too long: from 2 s on at
+// Guards against trials that waste the room of a queue whose tasks do take too long: from 4 s on at
 // most one job is started in each of the longest delays, and all others are refused at once.
 BOOST_AUTO_TEST_CASE(a_route_whose_tasks_take_too_long_refuses_all_but_a_few_trials)
 {
