--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -16,6 +16,8 @@
     std::uint64_t jobs_failed = 0;
     std::uint64_t jobs_refused = 0;
     std::uint64_t jobs_resumed = 0;
+    std::uint64_t run_time_trials = 0; // see run_time_trials
+    std::uint64_t run_time_trials_served = 0;
     std::uint64_t calls_forwarded = 0;
     std::uint64_t calls_unknown = 0;
     std::uint64_t starts_sent = 0;
@@ -42,9 +44,10 @@
 };
 BOOST_DESCRIBE_STRUCT(node_counters, (),
                       (jobs_accepted, jobs_complete, jobs_failed, jobs_refused, jobs_resumed,
-                       calls_forwarded, calls_unknown, starts_sent, start_batches, tasks_done,
-                       tasks_retried, workers_quarantined, takeovers, handovers, starts_refused,
-                       starts_repeated, load_probes, calls_resent, answers_stray, tasks_failed))
+                       run_time_trials, run_time_trials_served, calls_forwarded, calls_unknown,
+                       starts_sent, start_batches, tasks_done, tasks_retried, workers_quarantined,
+                       takeovers, handovers, starts_refused, starts_repeated, load_probes,
+                       calls_resent, answers_stray, tasks_failed))
 
 } // namespace egretledge
 
--- a/src/core/job_owner.cpp
+++ b/src/core/job_owner.cpp
@@ -353,6 +353,7 @@
         !m_trials.may_begin(now.steady, service.name))
         return false;
     m_trials.begin(now.steady, service.name);
+    ++m_counters.run_time_trials;
     return true;
 }
 
@@ -503,7 +504,11 @@
                 "\"not run\" needs the shard's lease and a sufficient refusal bound");
     m_dispatcher.drop(job);
     if (job.on_trial)
-        m_trials.end(now.steady, job.service, result == outcome::complete);
+    {
+        const bool served = result == outcome::complete;
+        m_trials.end(now.steady, job.service, served);
+        m_counters.run_time_trials_served += served ? 1 : 0;
+    }
     auto answer = answer_for(job, kind, std::move(detail));
     m_counters.jobs_complete += result == outcome::complete ? 1 : 0;
     m_counters.jobs_failed += result == outcome::failed ? 1 : 0;
--- a/src/core/run_times.cpp
+++ b/src/core/run_times.cpp
@@ -76,7 +76,7 @@
 
 run_times::figure run_times::figure_of(const record& known)
 {
-    return {known.ratio.value, known.time_us.samples, known.learned_at};
+    return {known.ratio.value, known.ratio.samples, known.learned_at};
 }
 
 void run_times::evict_expired(microseconds now)
--- a/src/core/run_times.hpp
+++ b/src/core/run_times.hpp
@@ -25,9 +25,9 @@
     // What is known of a service, and how well.
     struct figure
     {
-        double ratio = 1; // of actual to declared run time
-        std::uint64_t samples = 0;
-        microseconds learned_at{0}; // time of the latest sample
+        double ratio = 1;           // of actual to declared run time
+        std::uint64_t samples = 0;  // runs that it was learned from
+        microseconds learned_at{0}; // time of the latest run of the service
     };
 
     // Records that a task of `service` with a declared run time of `declared`, 0 if it declared
--- a/src/pool/admission.cpp
+++ b/src/pool/admission.cpp
@@ -66,20 +66,27 @@
     return std::max(milliseconds{1}, m_run_times.expect(now, job.terms.route, step.estimate));
 }
 
-void worker_pool::set_run_times(open_job& job, const std::vector<milliseconds>& run_times)
+milliseconds worker_pool::critical_path_of(const job_request& job,
+                                           const std::vector<milliseconds>& run_times)
 {
-    job.run_times = run_times;
-    job.critical_path = milliseconds{0};
+    milliseconds longest{0};
     std::vector<milliseconds> chain;
-    for (std::size_t step = 0; step < job.request.steps.size(); ++step)
+    for (std::size_t step = 0; step < job.steps.size(); ++step)
     {
         milliseconds before{0};
-        for (const auto earlier : job.request.steps[step].after)
+        for (const auto earlier : job.steps[step].after)
             before = std::max(before, chain[earlier]);
         chain.push_back(before + run_times[step]);
-        job.critical_path = std::max(job.critical_path, chain.back());
+        longest = std::max(longest, chain.back());
     }
+    return longest;
+}
+
+void worker_pool::set_run_times(open_job& job, std::vector<milliseconds> run_times)
+{
+    job.critical_path = critical_path_of(job.request, run_times);
     job.objective = job.arrived + time_allowed(job.request.terms, job.critical_path);
+    job.run_times = std::move(run_times);
 }
 
 std::int64_t worker_pool::slot_cpu(const job_request* asking) const
@@ -339,10 +346,9 @@
 {
     if (m_trials.closed() == 0)
         return;
-    auto declared = job;
-    set_run_times(declared, declared_run_times(job.request));
     const auto& route = job.request.terms.route;
-    const auto closure = m_trials.admit(route, declared.critical_path);
+    const auto closure =
+        m_trials.admit(route, critical_path_of(job.request, declared_run_times(job.request)));
     if (!closure)
         return;
     const auto closed_for = std::chrono::duration_cast<milliseconds>(now - closure->since);
@@ -391,7 +397,7 @@
         }
     }
     job.waiting = job.left = static_cast<std::uint32_t>(job.tasks.size());
-    set_run_times(job, run_times);
+    set_run_times(job, std::move(run_times));
     job.deadline = job.arrived + microseconds{job.request.terms.wait};
     if (const auto answer = answer_to(m_crashes.verdict(job.request.id)))
     {
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -279,7 +279,10 @@
     milliseconds expected_run_time(microseconds now, const job_request& job,
                                    const job_step& step) const;
     // Sets the run times of the job's steps, and its critical path and objective accordingly.
-    static void set_run_times(open_job& job, const std::vector<milliseconds>& run_times);
+    static void set_run_times(open_job& job, std::vector<milliseconds> run_times);
+    // Returns the run time of the job's longest chain of steps.
+    static milliseconds critical_path_of(const job_request& job,
+                                         const std::vector<milliseconds>& run_times);
     // Returns true if the job would end too late for its caller if all of its tasks that can start
     // did so now.
     bool cannot_end_in_time(const open_job& job, microseconds now) const
@@ -290,6 +293,7 @@
     std::string describe_run_time(const open_job& job, microseconds now) const;
     // Returns true if all waiting tasks, those of this new job included, find free slots now.
     bool has_room_now(const open_job& job, microseconds now) const;
+    // Returns the declared run time of each step's tasks, at least 1 ms.
     static std::vector<milliseconds> declared_run_times(const job_request& job);
     // Admits a job whose learned run time is too long with its declared run time, if that allows
     // it, there is room for it now, and a trial of its route may begin. Otherwise returns false,
