--- a/harness/pool_simulation.hpp
+++ b/harness/pool_simulation.hpp
@@ -279,7 +279,8 @@
         std::vector<std::size_t> calls;
     };
 
-    // With draw_only, adds a request of the schedule to the digest and returns true.
+    // Called first for each request of the schedule. Takes the time of requests that are faults.
+    // With draw_only, adds the request to the digest and returns true.
     template <class... Arguments>
     bool only_drawn(std::string_view request, const Arguments&... arguments);
     void add_to_digest(std::string_view text) { m_digest.add(text); }
--- a/src/pool/admission.cpp
+++ b/src/pool/admission.cpp
@@ -310,36 +310,49 @@
     return times;
 }
 
-bool worker_pool::begin_trial(microseconds now, open_job& job, action_list& out)
+std::optional<worker_pool::open_job> worker_pool::trial_of(const open_job& job,
+                                                           microseconds now) const
 {
-    const auto& route = job.request.terms.route;
+    if (!cannot_end_in_time(job, now))
+        return std::nullopt;
     auto trial = job;
+    trial.on_trial = true;
     set_run_times(trial, declared_run_times(job.request));
     // Otherwise the job is too old, or declares too long a time itself.
-    if (trial.critical_path >= job.critical_path || cannot_end_in_time(trial, now))
-        return false;
+    const bool learned_is_at_fault =
+        trial.critical_path < job.critical_path && !cannot_end_in_time(trial, now);
+    return learned_is_at_fault ? std::optional{std::move(trial)} : std::nullopt;
+}
+
+bool worker_pool::may_begin_trial(const open_job& trial, microseconds now) const
+{
     const auto max_trials =
         std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(m_workers.size()) *
                                                           m_settings.max_trials_per_worker));
-    const auto declared = " declared_ms=" + std::to_string(trial.critical_path.count()) + " ";
-    if (m_trials.unproven() >= max_trials || !m_trials.may_begin(now, route) ||
-        !has_room_now(trial, now))
-    {
-        ++m_totals.refused_for_run_time;
-        if (m_trials.refuse(now, route, trial.critical_path))
-            out.push_back(actions::log_event{true, "event=route_closed route=" + route +
-                                                       " job=" + job.request.id + declared +
-                                                       describe_run_time(job, now)});
-        return false;
-    }
-    out.push_back(actions::log_event{false, "event=run_time_trial job=" + job.request.id +
-                                                " route=" + route + declared +
-                                                describe_run_time(job, now)});
-    job = std::move(trial);
-    job.on_trial = true;
-    m_trials.begin(now, route);
+    return m_trials.unproven() < max_trials && m_trials.may_begin(now, trial.request.terms.route) &&
+           has_room_now(trial, now);
+}
+
+void worker_pool::begin_trial(microseconds now, const open_job& job, const open_job& trial,
+                              action_list& out)
+{
+    m_trials.begin(now, trial.request.terms.route);
     ++m_totals.trials;
-    return true;
+    out.push_back(actions::log_event{
+        false, "event=run_time_trial job=" + job.request.id + " route=" + job.request.terms.route +
+                   " declared_ms=" + std::to_string(trial.critical_path.count()) + " " +
+                   describe_run_time(job, now)});
+}
+
+void worker_pool::begin_closure(microseconds now, const open_job& job, const open_job& trial,
+                                action_list& out)
+{
+    ++m_totals.refused_for_run_time;
+    if (m_trials.refuse(now, job.request.terms.route, trial.critical_path))
+        out.push_back(actions::log_event{
+            true, "event=route_closed route=" + job.request.terms.route + " job=" + job.request.id +
+                      " declared_ms=" + std::to_string(trial.critical_path.count()) + " " +
+                      describe_run_time(job, now)});
 }
 
 void worker_pool::end_closure(microseconds now, const open_job& job, action_list& out)
@@ -408,9 +421,18 @@
     auto refused = evaluate_admission(now, job);
     if (!refused)
         end_closure(now, job, out);
-    else if (refused->kind == answer_kind::over_capacity && cannot_end_in_time(job, now) &&
-             begin_trial(now, job, out))
-        refused.reset();
+    else if (auto trial =
+                 refused->kind == answer_kind::over_capacity ? trial_of(job, now) : std::nullopt)
+    {
+        if (may_begin_trial(*trial, now))
+        {
+            begin_trial(now, job, *trial, out);
+            job = std::move(*trial);
+            refused.reset();
+        }
+        else
+            begin_closure(now, job, *trial, out);
+    }
     if (refused)
     {
         const bool former_runs = ending(job.request.id);
--- a/src/pool/worker_pool.hpp
+++ b/src/pool/worker_pool.hpp
@@ -295,10 +295,18 @@
     bool has_room_now(const open_job& job, microseconds now) const;
     // Returns the declared run time of each step's tasks, at least 1 ms.
     static std::vector<milliseconds> declared_run_times(const job_request& job);
-    // Admits a job whose learned run time is too long with its declared run time, if that allows
-    // it, there is room for it now, and a trial of its route may begin. Otherwise returns false,
-    // and counts the refusal if it rests on the learned run time.
-    bool begin_trial(microseconds now, open_job& job, action_list& out);
+    // Returns the job as it would run on trial, with its declared run times, if these allow it to
+    // end in time and the learned ones do not.
+    std::optional<open_job> trial_of(const open_job& job, microseconds now) const;
+    // Returns true if there is room for the trial now, and another one of its route may begin.
+    bool may_begin_trial(const open_job& trial, microseconds now) const;
+    // Counts and logs that `job` runs as `trial`.
+    void begin_trial(microseconds now, const open_job& job, const open_job& trial,
+                     action_list& out);
+    // Counts that the job is refused for its learned run time, and logs it if its route is closed
+    // by that.
+    void begin_closure(microseconds now, const open_job& job, const open_job& trial,
+                       action_list& out);
     // Logs that a route admits again what it refused for its learned run time.
     void end_closure(microseconds now, const open_job& job, action_list& out);
     // Returns true if a task may be placed on the worker now, capacity aside. `begun`: an earlier
