--- a/harness/pool_simulation.hpp
+++ b/harness/pool_simulation.hpp
@@ -11,9 +11,9 @@
 // - No caller receives "not run" for a job of which a task has started.
 // - A call is answered as complete only if every task of its job is done.
 // - Every call is answered exactly once.
-// - No job is refused for want of room for longer than `max_refusal_with_room`, if its declared and
-//   its actual run time allow it to end in time and the workers of a data centre are nearly idle,
-//   except during a fault and shortly after it.
+// - No job is refused for want of room for longer than `max_refusal_with_room` and a caller's wait,
+//   if its declared and its actual run time allow it to end in time and the workers of a data
+//   centre are nearly idle, except during a fault and shortly after it.
 // - A job is answered as failed only if one of its tasks used up its attempts or was on two workers
 //   when they crashed.
 // - A task that crashes its workers is started at most twice after it has crashed three of them.
--- a/src/core/job_owner.cpp
+++ b/src/core/job_owner.cpp
@@ -47,6 +47,8 @@
 constexpr milliseconds overload_wait{1000};
 // Retries that are allowed regardless of the number of starts.
 constexpr double min_retry_budget = 100;
+// Unproven trials of run times are at most one for this many slots, but one in any case.
+constexpr double slots_per_trial = 16;
 constexpr microseconds refusal_retry_delay = milliseconds{5};
 constexpr microseconds sweep_interval = milliseconds{1000};
 constexpr microseconds close_timeout = milliseconds{500};
@@ -347,8 +349,8 @@
 
 bool job_owner::begin_trial(instant now, const service_object& service)
 {
-    const auto max_trials =
-        std::max<std::size_t>(1, static_cast<std::size_t>(m_dispatcher.usable_slots() / 16));
+    const auto max_trials = std::max<std::size_t>(
+        1, static_cast<std::size_t>(m_dispatcher.usable_slots() / slots_per_trial));
     if (m_dispatcher.queued() > 0 || m_trials.unproven() >= max_trials ||
         !m_trials.may_begin(now.steady, service.name))
         return false;
--- a/tests/harness_test.cpp
+++ b/tests/harness_test.cpp
@@ -302,6 +302,10 @@
     for (std::size_t i = 10; i < calls.size(); ++i)
         served += kind_of(sim.calls().find(calls[i])->answer) == answer_kind::ok ? 1 : 0;
     BOOST_TEST(served == 30);
+    const auto& counters = sim.host(owner)->counters();
+    BOOST_TEST(counters.run_time_trials > 0U);
+    BOOST_TEST(counters.run_time_trials_served > 0U);
+    BOOST_TEST(counters.run_time_trials_served <= counters.run_time_trials);
     BOOST_TEST(sim.check_history() == "");
 }
 
